Take procQ over the calls that come, not over the heavy ones that are let in

With the cut up only heavy calls were answered, so procQ trebled, the drop fraction rose to 0.9 and kept the light calls out after the servers had recovered. Ages of calls out were length-biased the same way; they now count in mean latencies of their class.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -9,6 +9,7 @@
 import math
 from bisect import insort
 from collections import deque
+from collections.abc import Collection
 from random import Random
 
 from granitepoint.interface import (
@@ -264,6 +265,7 @@
         self.mean = Mean(self.least_target / 2)
         self.budgets: deque[float] = deque(maxlen=BUDGETS)
         self.usual, self.fresh_budgets = 0.0, 0
+        self.recent = 0.0  # arrivals, fading
 
     def learn_base(self, span: float) -> None:
         """A target below what an unhurried call takes would close W on a quiet day."""
@@ -303,8 +305,9 @@
     def __init__(self, stage: int, random: Random) -> None:
         self.stage = stage
         self.random = random
-        self.latency = Mean(0.0)
-        self.age = 0.0  # mean age of the calls out
+        self.latency = Mean(0.0)  # of the calls that were answered
+        self.mix = 0.0  # s, mean latency of the calls that come, refused ones among them
+        self.age = 0.0  # mean age of the calls out, in mean latencies of their class
         self.rate = 0.0
         self.rate_span = 0.0
         self.history: deque[float] = deque(maxlen=HISTORY)
@@ -315,13 +318,23 @@
 
     @property
     def proc(self) -> float:
-        # A hung server finishes nothing, so the ages of what is out count too.
-        return max(self.latency.value, 0.5 * self.age)
+        # A hung server finishes nothing, so the ages of what is out count too. In units of their class: long
+        # calls are out the longest, so that their ages in seconds say more of the mix than of the servers.
+        return self.mix * max(1.0, 0.5 * self.age)
 
     def observe_rate(self, arrivals: int, span: float) -> None:
         self.rate_span = min(self.rate_span + span, MEMORY)
         self.rate += (arrivals / span - self.rate) * min(1.0, span / self.rate_span)
 
+    def observe_mix(self, kinds: Collection[Kind], span: float) -> None:
+        """What is refused must weigh too: a cut leaves the worthiest, which are the heaviest here, and with
+        the latency of these alone the servers seem to do ever fewer calls, so ever more are refused."""
+        total = sum(kind.recent for kind in kinds)
+        if total > 0:
+            self.mix = sum(kind.recent * kind.mean.value for kind in kinds) / total
+        for kind in kinds:
+            kind.recent *= max(0.0, 1 - span / MEMORY)
+
     def observe_latency(self, latency: float) -> None:
         self.latency.add(latency, max(FEWEST_SAMPLES, self.rate * MEMORY))
 
@@ -706,6 +719,7 @@
             self.gate.turn_away(event.call)
             return
         self.arrivals += 1
+        cls.recent += 1
         now = self.now
         worth = cls.worth
         if self.settings.worth_by_work and event.work > 0:
@@ -912,6 +926,7 @@
         self.arrivals = self.sends = 0
         for name, quota in self.quota.items():
             self.quota_left[name] = min(max(1.0, quota), self.quota_left[name] + quota * span)
+        admission.observe_mix(self.kinds.values(), span)
         for cls in self.kinds.values():
             cls.learn_base(span)
         self.watch()
@@ -937,7 +952,7 @@
             age = now - attempt.sent_at
             cls = attempt.call.cls
             if attempt.counted:
-                total += age
+                total += age / cls.mean.value
                 counted += 1
                 if not attempt.late and age > cls.target:
                     attempt.late = True
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -12,6 +12,7 @@
     CloseIdle,
     Effect,
     Fail,
+    Gone,
     ListKind,
     Outcome,
     Probe,
@@ -31,7 +32,7 @@
     part = Admission(stage, Random(3))
     for _ in range(20):
         part.observe_latency(latency)
-    part.window, part.rate = window, rate
+    part.window, part.rate, part.mix = window, rate, latency
     part.history.extend(worths)
     return part
 
@@ -98,10 +99,47 @@
 
 def test_outstanding_ages_raise_proc() -> None:
     part = admission(4, 0.1, 50, [1.0] * 20)
-    part.age = 1.0
+    part.age = 10.0  # mean latencies
     assert part.proc == pytest.approx(0.5)
 
 
+def test_refused_calls_weigh_in_proc() -> None:
+    # Found in r5136: with the cheap calls refused, procQ was that of the heavy ones, three times as long, and
+    # the cut that followed from it kept the cheap ones out for good.
+    light = RequestClass("light", worth=1, aim=1.0, deadline=2.0)
+    heavy = RequestClass("heavy", worth=9, aim=4.0, deadline=8.0)
+    driver = Driver(settings(classes=[light, heavy]))
+    driver.balancer.admission.window = 50.0
+    for call in range(0, 400, 4):
+        for number in range(call, call + 3):
+            for send in sends(driver.arrive(number, "light")):
+                if call < 200:
+                    driver.settle(send, Status.OK, elapsed=0.05)
+                else:
+                    driver.feed(Gone(number))  # as good as refused: nothing is learned from it
+                    driver.settle(send, Status.CANCELLED, final=True)
+        driver.settle(only_send(driver.arrive(call + 3, "heavy", 8.0)), Status.OK, elapsed=0.45)
+        driver.wait(0.1)
+    assert driver.balancer.admission.proc == pytest.approx(0.15, rel=0.1)
+
+
+def test_heavy_calls_in_flight_are_not_old() -> None:
+    # The calls that are out at a moment are the long ones of the mix: only what is old for its class counts.
+    light = RequestClass("light", worth=1, aim=1.0, deadline=2.0)
+    heavy = RequestClass("heavy", worth=9, aim=4.0, deadline=8.0)
+    driver = Driver(settings(classes=[light, heavy]))
+    kinds, part = driver.balancer.kinds, driver.balancer.admission
+    kinds["light"].mean.value, kinds["heavy"].mean.value = 0.05, 0.45
+    for call in range(20):
+        driver.settle(only_send(driver.arrive(call, "light")), Status.OK, elapsed=0.05)
+    driver.arrive(20, "heavy", 8.0)
+    driver.wait(0.4)
+    usual = part.mix
+    assert usual < 0.1 and part.proc == usual
+    driver.wait(1.0)
+    assert part.proc > usual
+
+
 def full(driver: Driver) -> None:
     """Fills the window with calls, so that the next ones are held."""
     driver.balancer.admission.window = 2.0
@@ -115,7 +153,7 @@
     driver = Driver(settings(classes=[cheap, dear, *settings().classes]))
     full(driver)
     part = driver.balancer.admission
-    part.latency.value, part.latency.count = 0.4, 0.0  # a place waits 0.4 / 2 = 0.2 s
+    part.mix, part.latency.count = 0.4, 0.0  # a place waits 0.4 / 2 = 0.2 s
     for kind in driver.balancer.kinds.values():
         kind.mean.value = 0.2
     # Within an aim of 1 s: 0.2 n + 2 x 0.2 <= 1 allows three places.
@@ -130,7 +168,7 @@
 def test_one_place_remains() -> None:
     driver = Driver(settings())
     full(driver)
-    driver.balancer.admission.latency.value = 50.0
+    driver.balancer.admission.mix = 50.0
     actions = driver.arrive(1)
     assert not [a for a in actions if isinstance(a, Refuse)]
     assert [call.id for call in driver.balancer.queue] == [1]
@@ -458,13 +496,14 @@
     driver = Driver(settings(may_probe=False), servers=entries(1, 2, 3))
     out = [only_send(driver.arrive(call)) for call in range(3)]
     part = driver.balancer.admission
-    before = (part.window, part.proc)
+    driver.wait(0.05)
+    window, proc = part.window, part.proc
     driver.now += 1.9
     actions = driver.feed(
         *[Outcome(send.call, 0, send.server, Status.OK, 1.9, True) for send in out[:2]],
         Outcome(out[2].call, 0, out[2].server, Status.TIMEOUT, 1.9, False),
     )
-    assert (part.window, part.proc) == before and Refuse(out[2].call) in actions
+    assert part.window == window and part.proc == pytest.approx(proc) and Refuse(out[2].call) in actions
     assert not any(server.ejected_until for server in driver.balancer.servers.known.values())
 
 
