Move to the discovery that the file names now on SIGHUP

Now the file is read again (EDGE_DISCOVERY is as old as the process), the old connection closes, and the whole list is asked for at the new address, whose versions need not be those of the old one. A file that can't be used changes nothing.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -1,4 +1,4 @@
-"""One real proxy: reads the configuration, starts, and ends on SIGTERM."""
+"""One real proxy: reads the configuration, starts, moves to another discovery on SIGHUP, ends on SIGTERM."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from granitepoint.net.config import Config, ConfigError, load
+from granitepoint.net.config import Config, ConfigError, discovery_now, load
 from granitepoint.net.driver import Driver
 from granitepoint.net.server import Server
 
@@ -21,6 +21,16 @@
 LAST_BYTES = 1.0  # s for the last answers to be taken
 CLIENT_SHARE = 0.5  # of the descriptors, for callers' connections; the upstreams' bound is in the driver
 
+log = logging.getLogger(__name__)
+
+
+def reconfigure(driver: Driver) -> None:
+    """A file that can't be used changes nothing: the proxy goes on as it is."""
+    try:
+        driver.discovery.move(discovery_now(os.environ))
+    except ConfigError as fault:
+        log.error("%s", fault)
+
 
 async def drain(server: Server, driver: Driver) -> None:
     """Callers go on using a connection that stays open, and lose what is unanswered at the end: so each
@@ -48,6 +58,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, term.set)
     driver = Driver(config)
+    loop.add_signal_handler(signal.SIGHUP, reconfigure, driver)
     server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
     driver.start()
     await server.listen(*config.listen)
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -65,14 +65,33 @@
     return int(text, 16) if isinstance(text, str) else int(str(text))
 
 
+def _read(environ: Mapping[str, str]) -> dict[str, Any]:
+    path = environ.get("EDGE_CONFIG")
+    if not path:
+        raise ValueError("EDGE_CONFIG is not set")
+    raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    if not isinstance(raw, dict):
+        raise ValueError("the file holds no object")
+    return raw
+
+
+def _fault(fault: Exception) -> ConfigError:
+    return ConfigError(" ".join(f"bad configuration: {fault}".split()))
+
+
+def discovery_now(environ: Mapping[str, str]) -> Address:
+    """The address in the file as it stands now; EDGE_DISCOVERY is as old as the process."""
+    try:
+        return address(_read(environ).get("discovery"))
+    except (OSError, ValueError) as fault:
+        raise _fault(fault) from None
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Reads the file that EDGE_CONFIG names; the other variables override what it says."""
     try:
-        path = environ.get("EDGE_CONFIG")
-        if not path:
-            raise ValueError("EDGE_CONFIG is not set")
-        raw = json.loads(Path(path).read_text(encoding="utf-8"))
-        if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raw = _read(environ)
+        if not isinstance(raw.get("settings"), dict):
             raise ValueError("the file holds no settings object")
         known = raw.get("known") or {}
         limits = raw.get("limits") or {}
@@ -94,4 +113,4 @@
             settings=read_settings(flatten(raw["settings"])),
         )
     except (OSError, ValueError, TypeError, AttributeError) as fault:
-        raise ConfigError(" ".join(f"bad configuration: {fault}".split())) from None
+        raise _fault(fault) from None
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -159,6 +159,12 @@
         if on:
             self._watch = asyncio.get_running_loop().create_task(self._watching())
 
+    def move(self, at: Address) -> None:
+        """Another address, whose versions may be others: the whole list is asked for there, at once."""
+        self.stop()
+        self.at, self.version = at, 0
+        self.watch(True)
+
     def fetch(self) -> None:
         task = asyncio.get_running_loop().create_task(self._fetching())
         self._fetches.add(task)
@@ -175,7 +181,8 @@
         try:
             while True:
                 begun = loop.time()
-                target = f"/v1/servers?from={self.version}&hold_ms={HOLD_MS}"
+                since = f"?from={self.version}&hold_ms={HOLD_MS}" if self.version else ""
+                target = "/v1/servers" + since
                 if not await self._ask(channel, target, HOLD_MS / 1000 + PATIENCE):
                     return
                 await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -220,11 +220,11 @@
             "limits": limits, "known": known, "settings": {**SETTINGS, **changes}}  # fmt: skip
 
 
-async def start_program(raw: object, folder: str) -> asyncio.subprocess.Process:
+async def start_program(raw: object, folder: str, **more: str) -> asyncio.subprocess.Process:
     path = Path(folder) / "config.json"
     path.write_text(raw if isinstance(raw, str) else json.dumps(raw), encoding="utf-8")
     environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-    environ["EDGE_CONFIG"] = str(path)
+    environ |= {"EDGE_CONFIG": str(path), **more}
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "granitepoint", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
     )
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import tempfile
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -14,16 +16,21 @@
     SETTINGS,
     Backend,
     Discovery,
+    Proxy,
     Seen,
     config,
     endpoint,
+    free_address,
     listing,
     proxy,
     response,
     serve_ok,
     start_program,
+    until_ready,
 )
 
+from granitepoint.net.config import address
+
 
 def run(test: Coroutine[Any, Any, None]) -> None:
     async def bounded() -> None:
@@ -368,6 +375,41 @@
     run(test())
 
 
+def test_sighup_moves_to_the_discovery_that_the_file_names_now() -> None:
+    async def test() -> None:
+        old, new = await Discovery().start(), await Discovery().start()
+        first, second = await Backend().start(), await Backend().start()
+        known = listing(7, endpoint("s-1", first.address))
+        listen = free_address()
+        with tempfile.TemporaryDirectory() as folder:
+            raw = config(old.address, known, listen)
+            process = await start_program(raw, folder, EDGE_DISCOVERY=old.address)
+            try:
+                node = Proxy(process, address(listen))
+                await until_ready(node.address)
+                async with asyncio.timeout(PATIENCE):
+                    assert await old.asked.get() == "/v1/servers?from=7&hold_ms=20000"
+                    file = Path(folder) / "config.json"
+                    file.write_text("{", encoding="utf-8")  # can't be used: nothing changes
+                    process.send_signal(signal.SIGHUP)
+                    assert (await (await node.caller()).call("stock", "1" * 16)).code == 200
+                    file.write_text(json.dumps({**raw, "discovery": new.address}), encoding="utf-8")
+                    process.send_signal(signal.SIGHUP)
+                    assert await new.asked.get() == "/v1/servers"
+                    new.put(3, endpoint("s-2", second.address), snapshot=True)
+                    assert await new.asked.get() == "/v1/servers?from=3&hold_ms=20000"
+                assert (await (await node.caller()).call("stock", "2" * 16)).code == 200
+                assert (first.count, second.count) == (1, 1)
+            finally:
+                process.kill()
+                await process.wait()
+                for party in (old, new, first, second):
+                    assert party.server is not None
+                    party.server.close()
+
+    run(test())
+
+
 def test_a_backend_that_fell_silent_loses_its_idle_connections() -> None:
     """A machine that vanished leaves open, silent connections; each would cost a call to find out."""
 
