Close within 2.5 s on peers that send no whole request, and bound what the parser holds

A silent or dripping peer was kept for 120 s where the terms owe it an error or a close within 3 s, and a header without end was held whole by the parser, up to the memory limit. Each request now has 2.2 s to come whole, and 192 KiB as it comes. Kept callers' connections stay.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -20,10 +20,12 @@
 
 MOST_BODY = 64 * 1024  # bytes of a request
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
-IDLE = 120.0  # s after which a connection that asks nothing, or stops midway, is closed
+MOST_RAW = 2 * (MOST_HEAD + MOST_BODY)  # bytes of a request as it comes; the parser holds what is unfinished
+IDLE = 120.0  # s after which a connection that asks nothing more is closed
+FIRST_WHOLE = 2.2  # s for the first request of a connection to come whole, and for each from its first byte
 LINGER = 1.0  # s for which what still comes after a last answer to bad input is read and dropped
 SPARE_AGE = 0.5  # s without a request after which a connection may make room for another
-SWEEP = 5.0  # s between looks for those
+SWEEP = 0.25  # s between looks for those
 BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
 REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
 REASONS = {
@@ -143,8 +145,9 @@
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
-        self.head_size = self.body_size = 0
+        self.head_size = self.body_size = self.raw_size = 0
         self.inside = False  # a request has begun to come
+        self.begun_at: float | None = None  # since when a request is awaited whole; None: nothing is owed
         self.waiting: deque[tuple[Request | BadRequest | None, bool]] = deque()
         self.call: object | None = None
         self.answering = False  # a request is open
@@ -157,7 +160,7 @@
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
-        self.changed_at = time.monotonic()
+        self.changed_at = self.begun_at = time.monotonic()
         self.server.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -191,8 +194,13 @@
         if self.closing:
             return
         self.changed_at = time.monotonic()
+        unfinished = self.inside
         try:
             self.parser.feed_data(data)
+            if unfinished and self.inside:
+                self.raw_size += len(data)
+                if self.raw_size > MOST_RAW:
+                    raise BadRequest(413, "request too large")
         except Exception as fault:  # from the parser, or from a callback through it
             cause = fault if isinstance(fault, BadRequest) else fault.__context__
             bad = cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP")
@@ -203,9 +211,10 @@
     # parser callbacks
     def on_message_begin(self) -> None:
         self.inside = True
+        self.begun_at = self.begun_at or time.monotonic()
         self.target = b""
         self.headers, self.body = [], []
-        self.head_size = self.body_size = 0
+        self.head_size = self.body_size = self.raw_size = 0
 
     def on_url(self, part: bytes) -> None:
         self.target += part
@@ -236,6 +245,7 @@
 
     def on_message_complete(self) -> None:
         self.inside = False
+        self.begun_at = None
         parser = self.parser
         keep_alive = parser.should_keep_alive()
         method = parser.get_method()
@@ -366,7 +376,11 @@
                 connection.transport.abort()
 
     def _sweep(self) -> None:
-        oldest = time.monotonic() - IDLE
-        self.close_idle(oldest, partial=True)
-        self.abort(oldest)
+        now = time.monotonic()
+        for connection in list(self.connections):
+            begun_at = connection.begun_at
+            if begun_at is not None and begun_at < now - FIRST_WHOLE and not connection.answering:
+                connection.close()
+        self.close_idle(now - IDLE)
+        self.abort(now - IDLE)
         self.loop.call_later(SWEEP, self._sweep)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -441,6 +441,36 @@
     run(test())
 
 
+def test_peers_that_send_no_whole_request_are_closed_and_callers_are_kept() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            caller, mute, slow = [await node.caller() for _ in range(3)]
+            assert (await caller.call("stock", "1" * 16)).code == 200
+            slow.writer.write(b"GET /stock HTTP/1.1\r\nX-Slow: ")
+
+            async def drip() -> None:
+                while True:
+                    slow.writer.write(b"x")
+                    await asyncio.sleep(0.05)
+
+            dripping = asyncio.create_task(drip())
+            assert await mute.ended() and await slow.ended()
+            dripping.cancel()
+            assert (await caller.call("stock", "2" * 16)).code == 200
+
+    run(test())
+
+
+def test_a_header_without_end_is_an_error_before_it_fills_the_memory() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            peer = await node.caller()
+            peer.writer.write(b"GET /stock HTTP/1.1\r\nX-Long: " + b"x" * (1 << 20))
+            assert (await peer.answer()).code == 413
+
+    run(test())
+
+
 def test_the_answer_to_bad_input_arrives_though_more_is_on_its_way() -> None:
     """Closing on unread bytes resets the connection, and a reset can overtake the answer."""
 
