Let a late answer close W only where its server is crowded

Any answer past the target closed the window. In a slowness of all servers that is most of them, and later the ordinary tail of heavy calls held W at its floor while servers idled.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -55,6 +55,7 @@
 BASE_SAMPLES = 20  # answers before the unhurried latency is taken from them
 BASE_MEMORY = 60.0  # s in which the unhurried latency follows a lasting rise
 MOST_TARGET = 0.9  # share of the aim that the target stays within, and where it starts
+CROWDED = 4.0  # calls held per unit of weight; with fewer a late answer tells of its work, not of a crowd
 LEAST_WINDOW = 2.0  # calls; W does not recover well from less
 LEAST_PER_SERVER = 2.0  # calls for each server that the first tier's instances share, if these are the more
 MOST_STEP = 0.3  # share of W that one call moves it by at most
@@ -544,6 +545,11 @@
             load += (server.last_report - usual) * math.exp((server.reported_at - now) / fade)
         return max(load, server.out)
 
+    def crowded(self, server: Server, now: float) -> bool:
+        """Guards against closing W for what fewer calls would not mend: a long tail of work, or all servers
+        slow at once. W then keeps servers idle while calls are refused. Harm: W closes a report later."""
+        return not self.settings.may_probe or self.load(server, now) + 1 > CROWDED * server.hint
+
     def pick(self, call: Call, gate: Obligations, now: float) -> tuple[Server, float] | None:
         best: Server | None = None
         best_cost = best_load = math.inf
@@ -846,8 +852,9 @@
         elif status == Status.ERROR:
             if server.errors <= servers.errors.value + 0.1:  # not this server's own fault
                 admission.bad()
-        elif not attempt.late and attempt.counted and (ok or status in (Status.TIMEOUT, Status.FULL)):
-            admission.bad()
+        elif not attempt.late and attempt.counted:
+            if status in (Status.TIMEOUT, Status.FULL) or (ok and servers.crowded(server, now)):
+                admission.bad()
         # capacity: calls held against latency in units of the class's mean
         latency = elapsed / cls.mean.value
         if ok or (status == Status.CONNECT_FAILED and elapsed > 0.1 * cls.mean.value):
@@ -954,7 +961,7 @@
             if attempt.counted:
                 total += age / cls.mean.value
                 counted += 1
-                if not attempt.late and age > cls.target:
+                if not attempt.late and age > cls.target and self.servers.crowded(attempt.server, now):
                     attempt.late = True
                     self.admission.bad()
             if age > RESCUE_AGE * cls.mean.value and not attempt.rescued:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -97,6 +97,29 @@
     assert part.window == 1
 
 
+@pytest.mark.parametrize(("held", "closes"), [(0.0, False), (9.0, True)])
+def test_late_answers_close_the_window_only_where_servers_are_crowded(held: float, closes: bool) -> None:
+    # Found in r5136: a slowness of all servers, then ordinary long work, kept W at its floor for good while
+    # the servers reported next to nothing and nine calls of ten were refused.
+    driver = Driver(settings(may_probe=True))
+    part = driver.balancer.admission
+    for call in range(40):
+        for server in driver.balancer.servers.known:
+            driver.feed(Probed(server, Status.OK, 0.01, {"busy_reqs": held}))
+        for send in sends(driver.arrive(call)):
+            driver.wait(0.1)
+            driver.settle(send, Status.OK, elapsed=0.95)
+    assert (part.window < 4) is closes
+
+
+def test_time_outs_close_the_window_even_of_idle_servers() -> None:
+    driver = Driver(settings(may_probe=True))
+    for call in range(10):
+        for send in sends(driver.arrive(call)):
+            driver.settle(send, Status.TIMEOUT, elapsed=1.0)
+    assert driver.balancer.admission.window < 4
+
+
 def test_outstanding_ages_raise_proc() -> None:
     part = admission(4, 0.1, 50, [1.0] * 20)
     part.age = 10.0  # mean latencies
