--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -852,9 +852,10 @@
         elif status == Status.ERROR:
             if server.errors <= servers.errors.value + 0.1:  # not this server's own fault
                 admission.bad()
-        elif not attempt.late and attempt.counted:
-            if status in (Status.TIMEOUT, Status.FULL) or (ok and servers.crowded(server, now)):
-                admission.bad()
+        elif not attempt.late and attempt.counted and (
+            status in (Status.TIMEOUT, Status.FULL) or (ok and servers.crowded(server, now))
+        ):
+            admission.bad()
         # capacity: calls held against latency in units of the class's mean
         latency = elapsed / cls.mean.value
         if ok or (status == Status.CONNECT_FAILED and elapsed > 0.1 * cls.mean.value):
