Avoid a server that turns calls away, and close no window for it alone

A rejection counted neither as a failure nor as a slow answer, so a server that rejects looked idle, got ever more calls, and each rejection closed W although the others were free.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -849,11 +849,11 @@
             cls.mean.add(elapsed, 50)
         if ok and elapsed <= cls.target:
             admission.good(busy)
-        elif status == Status.ERROR:
+        elif status in (Status.ERROR, Status.FULL):
             if server.errors <= servers.errors.value + 0.1:  # not this server's own fault
                 admission.bad()
         elif not attempt.late and attempt.counted and (
-            status in (Status.TIMEOUT, Status.FULL) or (ok and servers.crowded(server, now))
+            status == Status.TIMEOUT or (ok and servers.crowded(server, now))
         ):
             admission.bad()
         # capacity: calls held against latency in units of the class's mean
@@ -864,12 +864,12 @@
         if not ok:
             # A fast-failing server looks idle: a failure counts as a slow answer.
             latency = MOST_LATENCIES
-        if status not in (Status.FULL, Status.CONNECT_FAILED):
+        if status != Status.CONNECT_FAILED:
             latency = min(latency, MOST_LATENCIES)
             server.latency_sum = server.latency_sum * FORGET + latency
             server.load_sum = server.load_sum * FORGET + attempt.load + 1
             servers.mean_load.add(attempt.load + 1, 100)
-        failed = status in (Status.ERROR, Status.RESET)
+        failed = status in (Status.ERROR, Status.RESET, Status.FULL)
         server.errors += (failed - server.errors) * 0.2
         servers.errors.add(float(failed), 100)
         if ok:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -112,6 +112,28 @@
     assert (part.window < 4) is closes
 
 
+def test_a_server_that_turns_calls_away_is_avoided_and_closes_no_window() -> None:
+    # Found in r5136: three servers turned calls away for six seconds. They looked idle, so calls went on to
+    # them, and each refusal closed the windows of those that could have used the others.
+    driver = Driver(settings(may_probe=False), servers=entries(1, 2, 3, 4))
+    sent_there = 0
+    for call in range(200):
+        for send in sends(driver.arrive(call)):
+            sent_there += send.server == 1
+            driver.settle(send, Status.FULL if send.server == 1 else Status.OK)
+        driver.wait(0.05)
+    assert sent_there < 20 and driver.balancer.admission.window >= 4
+
+
+def test_servers_that_all_turn_calls_away_close_the_window() -> None:
+    driver = Driver(settings(may_probe=False), servers=entries(1, 2, 3, 4))
+    for call in range(60):
+        for send in sends(driver.arrive(call)):
+            driver.settle(send, Status.FULL)
+        driver.wait(0.05)
+    assert driver.balancer.admission.window < 3
+
+
 def test_time_outs_close_the_window_even_of_idle_servers() -> None:
     driver = Driver(settings(may_probe=True))
     for call in range(10):
