Make the test of servers that turn calls away fail without the mend

It never sent to the rejecting server, so it passed either way; now it settles every attempt and rejects at the server that the calls keep to.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -116,24 +116,32 @@
     # Found in r5136: three servers turned calls away for six seconds. They looked idle, so calls went on to
     # them, and each refusal closed the windows of those that could have used the others.
     driver = Driver(settings(may_probe=False), servers=entries(1, 2, 3, 4))
-    sent_there = 0
-    for call in range(200):
-        for send in sends(driver.arrive(call)):
-            sent_there += send.server == 1
-            driver.settle(send, Status.FULL if send.server == 1 else Status.OK)
-        driver.wait(0.05)
-    assert sent_there < 20 and driver.balancer.admission.window >= 4
+    first = only_send(driver.arrive(1000))
+    driver.settle(first, Status.OK)
+    assert serve(driver, rejecting={first.server}) < 50
+    assert driver.balancer.admission.window > 3
 
 
 def test_servers_that_all_turn_calls_away_close_the_window() -> None:
     driver = Driver(settings(may_probe=False), servers=entries(1, 2, 3, 4))
-    for call in range(60):
-        for send in sends(driver.arrive(call)):
-            driver.settle(send, Status.FULL)
-        driver.wait(0.05)
+    serve(driver, rejecting={1, 2, 3, 4})
     assert driver.balancer.admission.window < 3
 
 
+def serve(driver: Driver, rejecting: set[int]) -> int:
+    """Settles 200 calls with all their attempts; returns how many attempts were turned away."""
+    away = 0
+    for call in range(200):
+        out = sends(driver.arrive(call))
+        for attempt in range(4):
+            if out:
+                status = Status.FULL if out[0].server in rejecting else Status.OK
+                away += status is Status.FULL
+                out = sends(driver.settle(out[0], status, attempt), call)
+        driver.wait(0.05)
+    return away
+
+
 def test_time_outs_close_the_window_even_of_idle_servers() -> None:
     driver = Driver(settings(may_probe=True))
     for call in range(10):
