--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -850,7 +850,8 @@
         if ok and elapsed <= cls.target:
             admission.good(busy)
         elif status in (Status.ERROR, Status.FULL):
-            if server.errors <= servers.errors.value + 0.1:  # not this server's own fault
+            own_fault = server.errors > servers.errors.value + 0.1
+            if not own_fault and (status == Status.FULL or servers.crowded(server, now)):
                 admission.bad()
         elif not attempt.late and attempt.counted and (
             status == Status.TIMEOUT or (ok and servers.crowded(server, now))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -142,6 +142,19 @@
     return away
 
 
+@pytest.mark.parametrize(("held", "closes"), [(0.0, False), (9.0, True)])
+def test_errors_close_the_window_only_where_servers_are_crowded(held: float, closes: bool) -> None:
+    # Found on a scored day: failures further in kept W at five from the first second, and half of all calls
+    # were refused while the servers held one or two.
+    driver = Driver(settings(may_probe=True))
+    for call in range(20):
+        for server in driver.balancer.servers.known:
+            driver.feed(Probed(server, Status.OK, 0.01, {"busy_reqs": held}))
+        for send in sends(driver.arrive(call, "once")):
+            driver.settle(send, Status.ERROR)
+    assert (driver.balancer.admission.window < 4) is closes
+
+
 def test_time_outs_close_the_window_even_of_idle_servers() -> None:
     driver = Driver(settings(may_probe=True))
     for call in range(10):
