--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -11,14 +11,19 @@
 
 import uvloop
 
+from granitepoint.net import features as settings_file
 from granitepoint.net.config import Config, ConfigError, discovery_now, load
 from granitepoint.net.driver import Driver
-from granitepoint.net.server import Server
+from granitepoint.net.features import Features
+from granitepoint.net.figures import Figures
+from granitepoint.net.server import Server, Watcher
+from granitepoint.net.writer import LOG_BYTES, LogHandler, Writer, to_descriptor
 
 STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
 LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
 DRAIN_STEP = 0.01  # s between looks whether all is answered
 LAST_BYTES = 1.0  # s for the last answers to be taken
+LAST_LINES = 0.5  # s for each target of figures or logs to take what is held at the end
 CLIENT_SHARE = 0.5  # of the descriptors, for callers' connections; the upstreams' bound is in the driver
 
 log = logging.getLogger(__name__)
@@ -52,7 +57,7 @@
     server.abort()
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, features: Features) -> None:
     loop = asyncio.get_running_loop()
     term = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -60,8 +65,14 @@
     driver = Driver(config)
     loop.add_signal_handler(signal.SIGHUP, reconfigure, driver)
     server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
+    watchers: list[Watcher] = []
+    figures = Figures(features.figures, config.settings) if features.figures is not None else None
+    if figures is not None:
+        watchers.append(figures)
+    server.watchers = tuple(watchers)
     driver.start()
     await server.listen(*config.listen)
+    flushing = loop.create_task(figures.run()) if figures is not None else None
     # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
     gc.collect()
     gc.freeze()
@@ -69,19 +80,45 @@
     await term.wait()
     await drain(server, driver)
     driver.stop()
+    if flushing is not None:
+        flushing.cancel()
+    if figures is not None:
+        figures.close(LAST_LINES)
+
+
+def settings_path(arguments: list[str]) -> str | None:
+    if not arguments:
+        return None
+    import argparse  # only where there is something to read
+
+    parser = argparse.ArgumentParser(prog="gladegw", description="The proxy, as EDGE_CONFIG says.")
+    parser.add_argument("-f", metavar="FILE", dest="file", help="settings of the features, in HCL blocks")
+    file: str | None = parser.parse_args(arguments).file
+    return file
 
 
 def main() -> int:
-    logging.basicConfig(stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    file = settings_path(sys.argv[1:])
+    logs: Writer | None = None
+    log_format = "%(levelname)s %(name)s: %(message)s"
     try:
+        features = settings_file.read(file) if file is not None else Features()
         config = load(os.environ)
-        asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(config))
+        if features:
+            logs = Writer(to_descriptor(sys.stderr.fileno()), LOG_BYTES, "log")
+            logging.basicConfig(handlers=[LogHandler(logs)], format=log_format)
+        else:
+            logging.basicConfig(stream=sys.stderr, format=log_format)
+        asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(config, features))
     except ConfigError as fault:
         print(f"granitepoint: {fault}", file=sys.stderr)
         return 2
     except OSError as fault:
         print(f"granitepoint: {fault}", file=sys.stderr)
         return 1
+    finally:
+        if logs is not None:
+            logs.close(LAST_LINES)
     return 0
 
 
--- /dev/null
+++ b/granitepoint/net/features.py
@@ -0,0 +1,68 @@
+"""The features that the operators' settings file turns on: a block that is there turns its feature on."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from typing import Any
+
+from granitepoint.net import hcl
+from granitepoint.net.config import ConfigError
+from granitepoint.net.figures import FiguresSettings
+
+TEMPLATES = ("${", "%{")  # what is computed; here each value is given as it is
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    figures: FiguresSettings | None = None
+
+    def __bool__(self) -> bool:
+        return any(getattr(self, field.name) is not None for field in dataclasses.fields(self))
+
+
+BLOCKS: dict[str, Any] = {"figures": FiguresSettings}
+
+
+def _text(value: object) -> bool:
+    return isinstance(value, str) and not any(mark in value for mark in TEMPLATES)
+
+
+def _value(kind: str, value: object) -> Any:
+    """The value as the settings hold it; `kind` is the type that the dataclass declares."""
+    if kind == "int" and isinstance(value, int) and not isinstance(value, bool):
+        return value
+    if kind == "str" and _text(value):
+        return value
+    if kind == "tuple[str, ...]" and isinstance(value, list) and all(map(_text, value)):
+        return tuple(value)
+    wanted = {"int": "a whole number", "str": "a text", "tuple[str, ...]": "a list of texts"}[kind]
+    raise ValueError(f"must be {wanted}, not {value!r}")
+
+
+def _block(name: str, raw: dict[str, Any]) -> Any:
+    settings = BLOCKS.get(name)
+    if settings is None:
+        raise ValueError(f"unknown block {name}")
+    kinds = {field.name: str(field.type).removesuffix(" | None") for field in dataclasses.fields(settings)}
+    values = {}
+    for key, value in raw.items():
+        if key not in kinds:
+            raise ValueError(f"{name}: unknown setting {key}")
+        if value is not None:
+            try:
+                values[key] = _value(kinds[key], value)
+            except ValueError as fault:
+                raise ValueError(f"{name}: {key} {fault}") from None
+    try:
+        return settings(**values)
+    except ValueError as fault:
+        raise ValueError(f"{name}: {fault}") from None
+
+
+def read(path: str) -> Features:
+    """Raises ConfigError in one line."""
+    try:
+        return Features(**{name: _block(name, raw) for name, raw in hcl.read(path).items()})
+    except ValueError as fault:
+        raise ConfigError(" ".join(f"bad settings: {path}: {fault}".split())) from None
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -52,6 +52,24 @@
     came: float  # monotonic
 
 
+@dataclass(slots=True)
+class Asked:
+    """What is known of a request whatever becomes of it: peers' text, as it came."""
+
+    id: str
+    cls: str
+    tenant: str
+    came: float  # monotonic
+
+
+class Watcher(Protocol):
+    """What a feature is told of each request: its turn has come; its end (None: the caller left)."""
+
+    def begun(self, asked: Asked) -> None: ...
+
+    def ended(self, asked: Asked, code: int | None) -> None: ...
+
+
 class Reply(Protocol):
     """Where a call's answer goes."""
 
@@ -81,6 +99,10 @@
     return values[0] if values else b""
 
 
+def class_of(target: bytes) -> str:
+    return target[1:].split(b"?", 1)[0].split(b"/", 1)[0].decode("latin-1")
+
+
 def read_request(
     method: bytes,
     target: bytes,
@@ -92,7 +114,7 @@
     """Raises BadRequest; the rules that need a second look stand here, not in the parser."""
     if not target.startswith(b"/"):
         raise BadRequest(400, "the target is not a path")
-    cls = target[1:].split(b"?", 1)[0].split(b"/", 1)[0].decode("latin-1")
+    cls = class_of(target)
     effect = effects.get(cls)
     if effect is None:
         raise BadRequest(404, "no such class")
@@ -148,7 +170,8 @@
         self.head_size = self.body_size = self.raw_size = 0
         self.inside = False  # a request has begun to come
         self.begun_at: float | None = None  # since when a request is awaited whole; None: nothing is owed
-        self.waiting: deque[tuple[Request | BadRequest | None, bool]] = deque()
+        self.waiting: deque[tuple[Request | BadRequest | None, bool, Asked | None]] = deque()
+        self.asked: Asked | None = None  # the open request, where a feature watches
         self.call: object | None = None
         self.answering = False  # a request is open
         self.keep_alive = True
@@ -168,6 +191,7 @@
         self.closing = True
         self.waiting.clear()
         self.server.connections.discard(self)
+        self._ended(None)
         call, self.call = self.call, None
         if call is not None:
             self.server.handler.left(call)
@@ -204,7 +228,7 @@
         except Exception as fault:  # from the parser, or from a callback through it
             cause = fault if isinstance(fault, BadRequest) else fault.__context__
             bad = cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP")
-            self.waiting.append((bad, False))
+            self.waiting.append((bad, False, self._asked()))
             self.closing = True  # what still comes is read, so that the answer arrives, and dropped
         self._next()
 
@@ -261,14 +285,35 @@
                 )
             except BadRequest as bad:
                 request = bad
+        asked = self._asked() if request is not None else None
         self.headers, self.body = [], []
-        self.waiting.append((request, keep_alive))
+        self.waiting.append((request, keep_alive, asked))
+
+    def _asked(self) -> Asked | None:
+        if not self.server.watchers:
+            return None
+        told = dict(self.headers)
+        return Asked(
+            id=told.get(b"x-call-id", b"").decode("latin-1"),
+            cls=class_of(self.target),
+            tenant=told.get(b"x-caller", b"").decode("latin-1"),
+            came=time.monotonic(),
+        )
+
+    def _ended(self, code: int | None) -> None:
+        asked, self.asked = self.asked, None
+        if asked is not None:
+            for watcher in self.server.watchers:
+                watcher.ended(asked, code)
 
     # answers
     def _next(self) -> None:
         while self.waiting and not self.answering and self.transport is not None:
-            request, self.keep_alive = self.waiting.popleft()
+            request, self.keep_alive, self.asked = self.waiting.popleft()
             self.answering = True
+            if self.asked is not None:
+                for watcher in self.server.watchers:
+                    watcher.begun(self.asked)
             if request is None:
                 ready = self.server.handler.ready()
                 self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
@@ -295,6 +340,7 @@
             raise RuntimeError("a request has one answer")
         self.answering = False
         self.call = None
+        self._ended(code)
         transport = self.transport
         if transport is None:
             return
@@ -338,6 +384,7 @@
         self.connections: set[ClientConnection] = set()
         self.draining = False  # each answer is the last on its connection
         self.listener: asyncio.Server | None = None
+        self.watchers: tuple[Watcher, ...] = ()
 
     def crowded(self) -> bool:
         return len(self.connections) > self.most_open
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -201,6 +201,17 @@
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
+    async def line(self, *parts: str) -> str:
+        """The next line of standard error that holds all of these."""
+        assert self.process.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                line = (await self.process.stderr.readline()).decode()
+                if not line:
+                    raise EOFError(f"standard error ended before {parts}")
+                if all(part in line for part in parts):
+                    return line.rstrip("\n")
+
     async def code(self) -> int:
         async with asyncio.timeout(PATIENCE):
             return await self.process.wait()
@@ -220,14 +231,17 @@
             "limits": limits, "known": known, "settings": {**SETTINGS, **changes}}  # fmt: skip
 
 
-async def start_program(raw: object, folder: str, **more: str) -> asyncio.subprocess.Process:
+async def start_program(
+    raw: object, folder: str, *arguments: str, **more: str
+) -> asyncio.subprocess.Process:
     path = Path(folder) / "config.json"
     path.write_text(raw if isinstance(raw, str) else json.dumps(raw), encoding="utf-8")
     environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
     environ |= {"EDGE_CONFIG": str(path), **more}
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "granitepoint", cwd=ROOT, env=environ, stderr=asyncio.subprocess.PIPE
-    )
+        sys.executable, "-m", "granitepoint", *arguments, cwd=ROOT, env=environ,
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
 
 
 async def until_ready(address: tuple[str, int]) -> None:
@@ -244,9 +258,10 @@
 
 @contextlib.asynccontextmanager
 async def proxy(
-    backends: dict[str, Backend], discovery: Discovery | None = None, **changes: Any
+    backends: dict[str, Backend], discovery: Discovery | None = None, features: str = "", **changes: Any
 ) -> AsyncIterator[Proxy]:
-    """A proxy before these backends, ready; ended by force if the test has not ended it."""
+    """A proxy before these backends, ready; ended by force if the test has not ended it. `features` is the
+    text of its settings file."""
     own = discovery or await Discovery().start()
     for backend in backends.values():
         if not backend.address:
@@ -255,7 +270,10 @@
     listen = free_address()
     host, _, port = listen.rpartition(":")
     with tempfile.TemporaryDirectory() as folder:
-        process = await start_program(config(own.address, known, listen, **changes), folder)
+        file = Path(folder) / "malabar.hcl"
+        file.write_text(features, encoding="utf-8")
+        arguments = ("-f", str(file)) if features else ()
+        process = await start_program(config(own.address, known, listen, **changes), folder, *arguments)
         try:
             await until_ready((host, int(port)))
             yield Proxy(process, (host, int(port)))
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,287 @@
+"""Figures: their two formats, their bounds, and the running program with targets that take nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import shutil
+import signal
+import socket
+import threading
+import time
+from collections.abc import Coroutine, Sequence
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import settings as served
+from netkit import PATIENCE, Backend, Caller, proxy, start_program
+
+from granitepoint import Tenant
+from granitepoint.net.figures import DATAGRAM, Figures, FiguresSettings, LineFormat, StatsD, datagrams
+from granitepoint.net.server import Asked
+from granitepoint.net.writer import Writer
+
+TENANTS = [{"name": "coastal-cabs", "quota_rps": 100.0, "portion": 0.5}]
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(4 * PATIENCE):
+            await test
+
+    asyncio.run(bounded())
+
+
+def figures(tmp_path: Path, **changes: Any) -> Figures:
+    given = FiguresSettings(sink="none", file=str(tmp_path / "figures"), **changes)
+    return Figures(given, served(tenants=[Tenant("coastal-cabs", 1.0)]))
+
+
+def asked(cls: str = "safe", tenant: str = "coastal-cabs", ago: float = 0.412) -> Asked:
+    return Asked("9b1f03aa5c7e2d41", cls, tenant, time.monotonic() - ago)
+
+
+def test_a_request_is_counted_once_and_its_gauge_comes_back_to_0(tmp_path: Path) -> None:
+    fed = figures(tmp_path)
+    one = asked()
+    fed.begun(one)
+    fed.flush()
+    fed.ended(one, 200)
+    fed.flush()
+    fed.flush()
+    fed.close(PATIENCE)
+    who = "class:safe,tenant:coastal-cabs"
+    lines = (tmp_path / "figures").read_text().splitlines()
+    assert lines[0] == f"gladegw.inflight:1|g|#{who}"
+    assert re.fullmatch(rf"gladegw\.request\.ms:41\d\|ms\|#{who},code:200", lines[1])
+    assert lines[2:] == [
+        f"gladegw.requests:1|c|#{who},code:200",
+        f"gladegw.answers:1|c|#{who},code:200",
+        f"gladegw.inflight:0|g|#{who}",
+    ]
+
+
+def test_a_caller_that_left_is_a_request_without_an_answer(tmp_path: Path) -> None:
+    fed = figures(tmp_path)
+    one = asked()
+    fed.begun(one)
+    fed.ended(one, None)
+    fed.close(PATIENCE)
+    text = (tmp_path / "figures").read_text()
+    assert "gladegw.requests:1|c|#class:safe,tenant:coastal-cabs,code:none" in text
+    assert "answers" not in text
+
+
+def test_what_peers_name_makes_no_tags_of_its_own(tmp_path: Path) -> None:
+    fed = figures(tmp_path)
+    for number in range(1000):
+        one = asked(f"c{number}|x", f"t{number}\n#")
+        fed.begun(one)
+        fed.ended(one, 404)
+    assert len(fed.inflight) == len(fed.requests) == len(fed.rendered) == 1
+    fed.close(PATIENCE)
+    assert "class:other,tenant:other,code:404" in (tmp_path / "figures").read_text()
+
+
+def test_the_formats_read_as_the_operators_wrote_them() -> None:
+    tags = (("class", "book-slot"), ("tenant", "own-app"), ("code", "200"))
+    statsd, line = StatsD(), LineFormat()
+    assert statsd.timer("request", 412, statsd.tags(tags)) == (
+        b"gladegw.request.ms:412|ms|#class:book-slot,tenant:own-app,code:200\n"
+    )
+    told = line.timer("request", 3120, line.tags(tags)).decode()
+    assert re.fullmatch(
+        r"gladegw_request,class=book-slot,tenant=own-app,code=200 ms=3120i 1\d{18}\n", told
+    )
+    again = line.timer("request", 3120, line.tags(tags)).decode()
+    assert int(again.split()[-1]) > int(told.split()[-1])  # else the two would be one point
+    assert line.count("figures.dropped", 3, "").startswith(b"gladegw_figures_dropped count=3i ")
+    assert line.tags((("tenant", "a b,c=d\ne"),)) == "tenant=a\\ b\\,c\\=d_e"
+    assert statsd.tags((("tenant", "a|b,c#d:e f"),)) == "tenant:a_b_c_d_e_f"
+
+
+def test_datagrams_hold_whole_lines_within_a_packet() -> None:
+    lines = [b"x" * (number % 90) + b"\n" for number in range(400)]
+    packed = list(datagrams(lines))
+    assert [line for datagram in packed for line in datagram] == lines
+    assert max(sum(map(len, datagram)) for datagram in packed) <= DATAGRAM
+    assert len(packed) < 20
+
+
+def test_a_full_buffer_loses_its_oldest_lines_and_the_writer_goes_on() -> None:
+    go, taken = threading.Event(), threading.Event()
+    written: list[bytes] = []
+
+    def write(lines: Sequence[bytes]) -> int:
+        taken.set()
+        go.wait(PATIENCE)
+        written.extend(lines)
+        return 0
+
+    writer = Writer(write, most=40, name="test")
+    writer.put([b"first....\n"])
+    assert taken.wait(PATIENCE)
+    writer.put([b"line %04d\n" % number for number in range(9)])  # returns though nothing is written yet
+    assert writer.take_lost() == 6  # what is being written counts too
+    go.set()
+    writer.close(PATIENCE)
+    assert written == [b"first....\n", b"line 0006\n", b"line 0007\n", b"line 0008\n"]
+
+
+def test_a_full_buffer_of_times_counts_what_it_drops(tmp_path: Path) -> None:
+    fed = figures(tmp_path, buffer_kb=4)
+    for _ in range(200):
+        one = asked()
+        fed.begun(one)
+        fed.ended(one, 200)
+    kept = len(fed.times)
+    assert 0 < kept < 200 and fed.dropped == 200 - kept
+    fed.close(PATIENCE)
+
+
+async def figure(node: Any, *parts: str) -> int:
+    return int((await node.line(*parts)).split("|")[0].rpartition(":")[2])
+
+
+def test_requests_go_on_while_the_file_cannot_be_written(tmp_path: Path) -> None:
+    """The operators' check: read standard error, delete the file's folder, and look."""
+
+    async def test() -> None:
+        folder = tmp_path / "figures"
+        folder.mkdir()
+        features = f'figures {{\n  flush_ms = 50\n  file = "{folder}/out.statsd"\n}}\n'
+        async with proxy({"s-1": Backend()}, features=features, tenants=TENANTS) as node:
+            caller = await node.caller()
+            for number in range(3):
+                reply = await caller.call("stock", f"{number:016x}", X_Caller="coastal-cabs")
+                assert reply.code == 200
+            await node.line("gladegw.request.ms:", "|ms|#class:stock,tenant:coastal-cabs,code:200")
+            async with asyncio.timeout(PATIENCE):
+                while "gladegw.answers" not in (folder / "out.statsd").read_text():
+                    await asyncio.sleep(0.01)
+            shutil.rmtree(folder)
+            for number in range(3, 6):
+                assert (await caller.call("stock", f"{number:016x}", X_Caller="nobody")).code == 200
+                await node.line("code:200", "tenant:other")
+                assert await figure(node, "gladegw.figures.dropped:") > 0
+            folder.mkdir()
+            assert (await caller.call("stock", "f" * 16)).code == 200
+            await node.line("file takes figures again")
+            assert (folder / "out.statsd").exists()
+
+    run(test())
+
+
+def test_every_answer_counts_once_and_the_gauge_ends_at_0() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}, features="figures {\n  flush_ms = 50\n}\n") as node:
+            caller = await node.caller()
+            assert (await caller.call("stock", "a" * 16)).code == 200
+            assert (await caller.call("no-such-class", "b" * 16)).code == 404
+            assert (await (await node.caller()).raw(b"\x00 not HTTP\r\n\r\n")).code == 400
+            gone = await node.caller()
+            gone.writer.write(b"GET /stock HTTP/1.1\r\nX-Call-Id: c\r\n")  # never whole
+            gone.writer.close()
+            node.terminate()
+            assert await node.code() == 0
+            assert node.process.stderr is not None
+            text = (await node.process.stderr.read()).decode()
+        counts: dict[str, int] = {}
+        gauges: dict[str, int] = {}
+        for name, value, kind, tags in re.findall(r"gladegw\.(\w+):(\d+)\|(c|g)\|#(\S+)", text):
+            if kind == "c":
+                counts[f"{name} {tags}"] = counts.get(f"{name} {tags}", 0) + int(value)
+            else:
+                gauges[tags] = int(value)
+        wanted = {"class:stock,tenant:other,code:200": 1, "class:other,tenant:other,code:404": 1,
+                  "class:other,tenant:other,code:400": 1}  # fmt: skip
+        assert counts == {f"{n} {tags}": c for tags, c in wanted.items() for n in ("requests", "answers")}
+        assert gauges and set(gauges.values()) == {0}
+
+    run(test())
+
+
+def test_a_pipe_that_nobody_reads_holds_up_no_request() -> None:
+    async def test() -> None:
+        features = "figures {\n  flush_ms = 10\n  buffer_kb = 4\n}\n"
+        async with proxy({"s-1": Backend()}, features=features) as node:
+            transport: Any = node.process._transport  # type: ignore[attr-defined]
+            transport.get_pipe_transport(2).pause_reading()
+            caller = await node.caller()
+            for number in range(1200):  # three pipes full of figures, and more
+                reply = await caller.call("stock", f"{number:016x}", budget="5000m")
+                assert reply.code == 200
+            transport.get_pipe_transport(2).resume_reading()
+            assert await figure(node, "gladegw.figures.dropped:") > 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("form", ["statsd", "line"])
+def test_a_udp_target_gets_the_figures_too(form: str) -> None:
+    async def test() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target:
+            target.bind(("127.0.0.1", 0))
+            target.settimeout(PATIENCE)
+            port = target.getsockname()[1]
+            features = f'figures {{\n  udp = "127.0.0.1:{port}"\n  flush_ms = 20\n  format = "{form}"\n}}\n'
+            async with proxy({"s-1": Backend()}, features=features) as node:
+                assert (await (await node.caller()).call("stock", "a" * 16)).code == 200
+                told = await asyncio.to_thread(target.recv, 65536)
+                await node.line("inflight", "class")
+        assert told.startswith(b"gladegw") and told.endswith(b"\n") and len(told) <= DATAGRAM
+
+    run(test())
+
+
+BAD = {
+    "unknown block figure": "figure {\n}\n",
+    "unknown setting speed": "figures {\n  speed = 1\n}\n",
+    "flush_ms must be a whole number": 'figures {\n  flush_ms = "soon"\n}\n',
+    "buffer_kb must be a whole number": "figures {\n  buffer_kb = true\n}\n",
+    "sink must be a text": "figures {\n  sink = 2\n}\n",
+    "format must be statsd or line": 'figures {\n  format = "xml"\n}\n',
+    "flush_ms must be 10 to 600000": "figures {\n  flush_ms = 0\n}\n",
+    "not an address": 'figures {\n  udp = "localhost"\n}\n',
+    "more than one block figures": "figures {\n}\nfigures {\n}\n",
+    "figures is no block": 'figures "x" {\n}\n',
+    "not HCL": "figures {\n",
+    "must be a text": 'figures {\n  file = "${x}"\n}\n',
+}
+
+
+@pytest.mark.parametrize("fault", BAD)
+def test_a_bad_settings_file_is_one_line_and_exit_2(fault: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        file = tmp_path / "malabar.hcl"
+        file.write_text(BAD[fault])
+        process = await start_program({}, str(tmp_path), "-f", str(file))
+        _, said = await process.communicate()
+        assert process.returncode == 2
+        assert said.count(b"\n") == 1 and fault in said.decode()
+
+    run(test())
+
+
+def test_a_missing_settings_file_is_one_line_and_exit_2(tmp_path: Path) -> None:
+    async def test() -> None:
+        process = await start_program({}, str(tmp_path), "-f", str(tmp_path / "none.hcl"))
+        _, said = await process.communicate()
+        assert process.returncode == 2
+        assert said.count(b"\n") == 1 and b"No such file" in said
+
+    run(test())
+
+
+def test_without_a_settings_file_standard_error_holds_no_figures() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            caller: Caller = await node.caller()
+            assert (await caller.call("stock", "a" * 16)).code == 200
+            node.process.send_signal(signal.SIGTERM)
+            assert await node.code() == 0
+            assert node.process.stderr is not None
+            assert await node.process.stderr.read() == b""
+
+    run(test())
