--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -12,11 +12,13 @@
 import uvloop
 
 from granitepoint.net import features as settings_file
+from granitepoint.net.access import AccessLog
 from granitepoint.net.config import Config, ConfigError, discovery_now, load
 from granitepoint.net.driver import Driver
 from granitepoint.net.features import Features
 from granitepoint.net.figures import Figures
 from granitepoint.net.server import Server, Watcher
+from granitepoint.net.tls import Tls
 from granitepoint.net.writer import LOG_BYTES, LogHandler, Writer, to_descriptor
 
 STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
@@ -69,10 +71,16 @@
     figures = Figures(features.figures, config.settings) if features.figures is not None else None
     if figures is not None:
         watchers.append(figures)
+    tls = Tls(features.tls) if features.tls is not None else None
+    if tls is not None:
+        watchers.append(AccessLog())
     server.watchers = tuple(watchers)
     driver.start()
     await server.listen(*config.listen)
-    flushing = loop.create_task(figures.run()) if figures is not None else None
+    running = [loop.create_task(figures.run())] if figures is not None else []
+    if tls is not None:
+        server.listen_tls(config.listen[0], tls.settings.port or 0, tls)
+        running.append(loop.create_task(tls.run()))
     # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
     gc.collect()
     gc.freeze()
@@ -80,8 +88,8 @@
     await term.wait()
     await drain(server, driver)
     driver.stop()
-    if flushing is not None:
-        flushing.cancel()
+    for task in running:
+        task.cancel()
     if figures is not None:
         figures.close(LAST_LINES)
 
--- /dev/null
+++ b/granitepoint/net/access.py
@@ -0,0 +1,35 @@
+"""One log line a request, for the features that promise to tell who asked."""
+
+from __future__ import annotations
+
+import json
+import logging
+import time
+
+from granitepoint.net.server import Asked
+
+log = logging.getLogger(__name__)
+
+LONGEST = 200  # characters of a peer's text
+
+
+def quoted(text: str) -> str:
+    """A peer's text in quotes, on one line and in plain characters whatever it holds."""
+    return json.dumps(text[:LONGEST])
+
+
+class AccessLog:
+    def __init__(self) -> None:
+        log.setLevel(logging.INFO)
+
+    def begun(self, asked: Asked) -> None:
+        pass
+
+    def ended(self, asked: Asked, code: int | None) -> None:
+        if asked.peer is None:
+            return
+        log.info(
+            "%s id=%s class=%s tenant=%s code=%s ms=%d",
+            asked.peer.told(), quoted(asked.id), quoted(asked.cls), quoted(asked.tenant),
+            code or "none", round((time.monotonic() - asked.came) * 1000),
+        )  # fmt: skip
--- a/granitepoint/net/features.py
+++ b/granitepoint/net/features.py
@@ -9,6 +9,7 @@
 from granitepoint.net import hcl
 from granitepoint.net.config import ConfigError
 from granitepoint.net.figures import FiguresSettings
+from granitepoint.net.tls import TlsSettings
 
 TEMPLATES = ("${", "%{")  # what is computed; here each value is given as it is
 
@@ -16,12 +17,13 @@
 @dataclass(frozen=True, slots=True)
 class Features:
     figures: FiguresSettings | None = None
+    tls: TlsSettings | None = None
 
     def __bool__(self) -> bool:
         return any(getattr(self, field.name) is not None for field in dataclasses.fields(self))
 
 
-BLOCKS: dict[str, Any] = {"figures": FiguresSettings}
+BLOCKS: dict[str, Any] = {"figures": FiguresSettings, "tls": TlsSettings}
 
 
 def _text(value: object) -> bool:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import re
+import socket
+import ssl
 import time
 from collections import deque
 from collections.abc import Mapping
@@ -14,6 +17,7 @@
 import httptools
 
 from granitepoint.interface import Effect
+from granitepoint.net.tls import reason, subject
 from granitepoint.net.upstream import HOP_BY_HOP
 
 log = logging.getLogger(__name__)
@@ -26,6 +30,9 @@
 LINGER = 1.0  # s for which what still comes after a last answer to bad input is read and dropped
 SPARE_AGE = 0.5  # s without a request after which a connection may make room for another
 SWEEP = 0.25  # s between looks for those
+ENTERING_SHARE = 0.1  # of the connections, that more may be at their handshake
+ACCEPT_PAUSE = 0.05  # s without accepting once it failed, for lack of descriptors most of all
+GOODBYE = 1.0  # s for the end of a TLS connection to be answered
 BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
 REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
 REASONS = {
@@ -52,6 +59,18 @@
     came: float  # monotonic
 
 
+@dataclass(slots=True)
+class Peer:
+    """Who is at the other end of a connection, where a feature has to know."""
+
+    client: str  # address and port
+    subject: str | None = None  # of its certificate; None: not TLS
+
+    def told(self) -> str:
+        subject = "" if self.subject is None else f" client_subject={json.dumps(self.subject)}"
+        return f"client={self.client}{subject}"
+
+
 @dataclass(slots=True)
 class Asked:
     """What is known of a request whatever becomes of it: peers' text, as it came."""
@@ -60,6 +79,7 @@
     cls: str
     tenant: str
     came: float  # monotonic
+    peer: Peer | None = None
 
 
 class Watcher(Protocol):
@@ -76,6 +96,12 @@
     def answer(self, code: int, headers: Any, body: bytes) -> None: ...
 
 
+class Certificates(Protocol):
+    """What a TLS port asks for: a connection keeps the context that it began with."""
+
+    context: ssl.SSLContext
+
+
 class Handler(Protocol):
     """What the callers' side asks of the driver."""
 
@@ -160,8 +186,8 @@
 class ClientConnection(asyncio.Protocol):
     """One caller's connection: requests one after another, each with exactly one answer."""
 
-    def __init__(self, server: Server) -> None:
-        self.server = server
+    def __init__(self, server: Server, peer: Peer | None = None, begun_at: float | None = None) -> None:
+        self.server, self.peer = server, peer
         self.transport: asyncio.Transport | None = None
         self.parser: Any = httptools.HttpRequestParser(self)
         self.target = b""
@@ -169,7 +195,7 @@
         self.body: list[bytes] = []
         self.head_size = self.body_size = self.raw_size = 0
         self.inside = False  # a request has begun to come
-        self.begun_at: float | None = None  # since when a request is awaited whole; None: nothing is owed
+        self.begun_at = begun_at  # since when a request is awaited whole; None: nothing is owed
         self.waiting: deque[tuple[Request | BadRequest | None, bool, Asked | None]] = deque()
         self.asked: Asked | None = None  # the open request, where a feature watches
         self.call: object | None = None
@@ -183,7 +209,10 @@
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
-        self.changed_at = self.begun_at = time.monotonic()
+        self.changed_at = time.monotonic()
+        self.begun_at = self.begun_at or self.changed_at
+        if self.peer is not None and transport.get_extra_info("ssl_object") is not None:
+            self.peer.subject = subject(transport.get_extra_info("peercert"))
         self.server.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -298,6 +327,7 @@
             cls=class_of(self.target),
             tenant=told.get(b"x-caller", b"").decode("latin-1"),
             came=time.monotonic(),
+            peer=self.peer,
         )
 
     def _ended(self, code: int | None) -> None:
@@ -356,7 +386,8 @@
             # The peer may still be sending. Closing on unread bytes resets the connection, which can take
             # the answer with it: first only this side ends.
             self.waiting.clear()
-            transport.write_eof()
+            if transport.can_write_eof():  # TLS has no such half end; there the answer's length tells it
+                transport.write_eof()
             self.server.loop.call_later(LINGER, transport.abort)
         elif last:
             self.closing = True
@@ -375,6 +406,12 @@
             self.transport.close()
 
 
+def told_address(name: Any) -> str:
+    """A socket's name as `host:port`."""
+    host, port = name[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 class Server:
     """The listener and the callers' connections."""
 
@@ -384,6 +421,8 @@
         self.connections: set[ClientConnection] = set()
         self.draining = False  # each answer is the last on its connection
         self.listener: asyncio.Server | None = None
+        self.accepting: dict[socket.socket, asyncio.Task[None]] = {}  # listeners whose connections are met
+        self.entering: dict[asyncio.Task[None], None] = {}  # the oldest first
         self.watchers: tuple[Watcher, ...] = ()
 
     def crowded(self) -> bool:
@@ -406,9 +445,59 @@
         self.loop.call_later(SWEEP, self._sweep)
         return int(self.listener.sockets[0].getsockname()[1])
 
+    def listen_tls(self, host: str, port: int, certificates: Certificates) -> None:
+        self._accept(host, port, certificates)
+
+    def _accept(self, host: str, port: int, certificates: Certificates | None) -> None:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family, backlog=1024)
+        listener.setblocking(False)
+        self.accepting[listener] = self.loop.create_task(self._accepting(listener, certificates))
+
+    async def _accepting(self, listener: socket.socket, certificates: Certificates | None) -> None:
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(listener)
+            except OSError as fault:
+                log.warning("a connection could not be accepted: %s", fault)
+                await asyncio.sleep(ACCEPT_PAUSE)
+                continue
+            if len(self.entering) >= max(1, int(self.most_open * ENTERING_SHARE)):
+                next(iter(self.entering)).cancel()  # it has said nothing for the longest
+            task = self.loop.create_task(self._enter(sock, certificates))
+            self.entering[task] = None
+            task.add_done_callback(self.entering.pop)
+
+    async def _enter(self, sock: socket.socket, certificates: Certificates | None) -> None:
+        """All that comes before HTTP, within the time of a first request."""
+        begun_at = time.monotonic()
+        handed_on = False
+        try:
+            peer = Peer(told_address(sock.getpeername()))
+            left = begun_at + FIRST_WHOLE - time.monotonic()
+            more: dict[str, Any] = {}
+            if certificates is not None:
+                more = {"ssl": certificates.context, "ssl_handshake_timeout": left,
+                        "ssl_shutdown_timeout": GOODBYE}  # fmt: skip
+            handed_on = True
+            await self.loop.connect_accepted_socket(
+                lambda: ClientConnection(self, peer, begun_at), sock, **more
+            )
+        except OSError as fault:
+            if handed_on and certificates is not None:
+                log.warning("tls: handshake refused: client=%s reason=%s", peer.client, reason(fault))
+        except Exception:
+            log.exception("a connection could not be taken")
+        finally:
+            if not handed_on:
+                sock.close()
+
     def stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
+        for listener, task in self.accepting.items():
+            task.cancel()
+            listener.close()
 
     def close_idle(self, unused_since: float = float("inf"), partial: bool = False) -> None:
         for connection in list(self.connections):
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import signal
@@ -195,8 +196,8 @@
     def __init__(self, process: asyncio.subprocess.Process, address: tuple[str, int]) -> None:
         self.process, self.address = process, address
 
-    async def caller(self) -> Caller:
-        return Caller(*await asyncio.open_connection(*self.address))
+    async def caller(self, port: int | None = None, **how: Any) -> Caller:
+        return Caller(*await asyncio.open_connection(self.address[0], port or self.address[1], **how))
 
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
@@ -217,6 +218,10 @@
             return await self.process.wait()
 
 
+def free_port() -> int:
+    return int(free_address().rpartition(":")[2])
+
+
 def free_address() -> str:
     import socket
 
@@ -228,7 +233,7 @@
 def config(discovery: str, known: dict[str, Any], listen: str, **changes: Any) -> dict[str, Any]:
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}
     return {"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-            "limits": limits, "known": known, "settings": {**SETTINGS, **changes}}  # fmt: skip
+            "limits": limits, "known": known, "settings": copy.deepcopy({**SETTINGS, **changes})}  # fmt: skip
 
 
 async def start_program(
@@ -275,7 +280,15 @@
         arguments = ("-f", str(file)) if features else ()
         process = await start_program(config(own.address, known, listen, **changes), folder, *arguments)
         try:
-            await until_ready((host, int(port)))
+            ready = asyncio.create_task(until_ready((host, int(port))))
+            ended = asyncio.create_task(process.wait())
+            await asyncio.wait((ready, ended), return_when=asyncio.FIRST_COMPLETED)
+            if ended.done():
+                ready.cancel()
+                assert process.stderr is not None
+                raise AssertionError(f"the program ended: {(await process.stderr.read()).decode()}")
+            ended.cancel()
+            await ready
             yield Proxy(process, (host, int(port)))
         finally:
             if process.returncode is None:
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -158,7 +158,8 @@
                 assert reply.code == 200
             await node.line("gladegw.request.ms:", "|ms|#class:stock,tenant:coastal-cabs,code:200")
             async with asyncio.timeout(PATIENCE):
-                while "gladegw.answers" not in (folder / "out.statsd").read_text():
+                out = folder / "out.statsd"
+                while not out.exists() or "gladegw.answers" not in out.read_text():
                     await asyncio.sleep(0.01)
             shutil.rmtree(folder)
             for number in range(3, 6):
