--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from typing import Any
 
 
 class Effect(Enum):
@@ -337,3 +339,9 @@
 
 
 Action = Send | Refuse | Fail | Cancel | Probe | Watch | Fetch | SetTimer | CloseIdle | Tell | Log
+
+# -- decisions ---------------------------------------------------------------------------------------
+
+# Told of each decision on a call, where it is set: the call, the decision's name, what was used and what was
+# said. Without it a Balancer does the same.
+Witness = Callable[[int, str, dict[str, Any], Any], None]
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Collection
 from random import Random
+from typing import Any
 
 from granitepoint.interface import (
     NEVER_RAN,
@@ -38,6 +39,7 @@
     StreamStarted,
     Timer,
     Watch,
+    Witness,
 )
 
 # -- tunables: name, unit, reason ----------------------------------------------------------------------
@@ -95,6 +97,7 @@
 OPEN_MEMORY = 30  # sends over which new and open connections are compared
 ADVICE = 0.25  # procQ that a refused client is told to stay away
 TICK_TOKEN, ASK_TOKEN = 1, 2
+HELD, CUT, LATE, SHORT, DISPLACED, TRIES = "held", "cut", "late", "queue", "displaced", "tries"  # verdicts
 MOST_LATENCIES = 8.0  # mean latencies that a failed attempt counts as at most
 
 
@@ -127,6 +130,7 @@
         "id",
         "order",
         "out",
+        "place",
         "queued",
         "streaming",
         "useful_until",
@@ -142,6 +146,7 @@
         self.attempts: list[Attempt] = []
         self.out = 0
         self.ended = self.streaming = self.queued = False
+        self.place: int | None = None  # in the queue, when last held
         self.asked: list[Server] | None = None  # servers probed for this call alone
         self.asked_until = 0.0
 
@@ -249,6 +254,11 @@
             self.remember(call.id)
 
 
+def tries(call: Call) -> list[tuple[int, float]]:
+    """How a call's attempts stand, and when they were sent."""
+    return [(attempt.status, attempt.sent_at) for attempt in call.attempts]
+
+
 # -- admission -------------------------------------------------------------------------------------------
 class Kind:
     """A class of requests with what was learned of it."""
@@ -316,6 +326,7 @@
         self.least = LEAST_WINDOW
         self.starting = True  # W doubles each round until the first bad sign
         self.cut, self.tie = -math.inf, 0.0
+        self.drawn: float | None = None  # by which the last tie was told apart
 
     @property
     def proc(self) -> float:
@@ -381,13 +392,26 @@
                 return
             below += share
 
+    def draw(self) -> float:
+        return self.random.random()
+
     def admits(self, worth: float) -> bool:
+        self.drawn = None
         if worth == self.cut:
-            return self.random.random() >= self.tie
+            self.drawn = self.draw()
+            return self.drawn >= self.tie
         return worth > self.cut
 
 
 # -- servers ---------------------------------------------------------------------------------------------
+# What the pick uses of a server beside what the list says of it, and what stands for nothing known.
+USED_OF_SERVER: dict[str, float] = {
+    "out": 0, "since": 0, "usual": 0.0, "last_report": 0.0, "reported_at": -math.inf, "latency_sum": 0.0,
+    "load_sum": 0.0, "used_at": -math.inf, "ramp_from": 0.0, "tokens": 0.0, "ejected_until": 0.0,
+    "trial": False, "most_out": 0, "most_out_until": 0.0, "drawn": 0.0,
+}  # fmt: skip
+
+
 class Server:
     def __init__(self, entry: ServerEntry, tokens: float) -> None:
         self.id = entry.server
@@ -398,6 +422,7 @@
         self.ejections = 0
         self.trial = False  # back on trial: one call at a time
         self.last_ok = 0.0
+        self.drawn = 0.0  # by which the last pick told it from its equals
         self.probe_out = False
         self.probed_at = -math.inf
         self.fresh()
@@ -572,11 +597,31 @@
                 cost += opening
             if server.id in tried:
                 cost += MOST_LATENCIES
-            cost *= 1 + 0.01 * self.random.random()
+            cost *= 1 + 0.01 * self.draw(server)
             if cost < best_cost and gate.may_send(call, server, now):
                 best, best_cost, best_load = server, cost, load
         return (best, best_load) if best is not None else None
 
+    def draw(self, server: Server) -> float:
+        server.drawn = self.random.random()
+        return server.drawn
+
+    def used(self) -> dict[str, Any]:
+        """What a pick uses, but for the list and the call."""
+        pool = {
+            server.id: {
+                name: value
+                for name, nothing in USED_OF_SERVER.items()
+                if (value := getattr(server, name)) != nothing
+            }
+            for server in self.pool
+        }
+        return {
+            "unit": self.unit, "mean_load": self.mean_load.value, "idle_safe": self.idle_safe,
+            "on_new": self.on_new.value, "on_open": self.on_open.value,
+            "zones": {zone: load.value for zone, load in self.zone_load.items()}, "servers": pool,
+        }  # fmt: skip
+
     # connections
     def idle(self, server: Server, now: float) -> float:
         """How long the connection to a server has not been used; 0: in use, or there is none."""
@@ -663,6 +708,8 @@
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
         self.watch_fails = 0
+        self.witness: Witness | None = None
+        self.arriving: dict[int, dict[str, Any]] = {}  # for the witness: what a fresh call was made of
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self.now = now
@@ -723,37 +770,58 @@
         cls = self.kinds.get(event.cls)
         if cls is None or not 0 < event.budget < math.inf:
             self.gate.turn_away(event.call)
+            if self.witness is not None:
+                self.witness(event.call, "admit", {"at": self.now}, CUT)
             return
         self.arrivals += 1
         cls.recent += 1
+        quota = self.quota_left.get(event.tenant) if self.settings.stage == 0 else None
+        if quota is not None and quota >= 1:
+            self.quota_left[event.tenant] -= 1
+        usual = 0.0 if cls.late_counts or self.settings.stage else cls.usual_budget(event.budget)
+        call = self.call(event, cls, quota, usual)
+        if self.witness is not None:
+            self.arriving[call.id] = {"work": event.work, "quota": quota, "usual": usual}
+        self.gate.calls[call.id] = call
+        self.admission.history.append(call.worth)
+        self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
+        fresh.append(call)
+
+    def call(self, event: Arrival, cls: Kind, quota: float | None, usual: float) -> Call:
+        """The call of an arrival, with what was left of its tenant's quota (None: it has none) and the usual
+        budget of its class."""
         now = self.now
         worth = cls.worth
         if self.settings.worth_by_work and event.work > 0:
             worth *= event.work
-        if self.settings.stage == 0 and event.tenant in self.quota:
-            if self.quota_left[event.tenant] >= 1:
-                self.quota_left[event.tenant] -= 1
-            else:
-                worth *= self.settings.over_share_worth
-        useful = event.budget if cls.late_counts else min(event.budget, self.aim_left(cls, event.budget))
-        call = Call(event.call, cls, worth, now, now + event.budget, now + useful)
-        self.gate.calls[call.id] = call
-        self.admission.history.append(worth)
-        self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
-        fresh.append(call)
+        if quota is not None and quota < 1:
+            worth *= self.settings.over_share_worth
+        aim_left = self.aim_left(cls, event.budget, usual)
+        useful = event.budget if cls.late_counts else min(event.budget, aim_left)
+        return Call(event.call, cls, worth, now, now + event.budget, now + useful)
+
+    def admits(self, call: Call) -> bool:
+        return self.admission.admits(call.worth) and call.useful_until > self.now
 
     def admit(self, call: Call) -> None:
-        if self.admission.admits(call.worth) and call.useful_until > self.now:
+        admitted = self.admits(call)
+        if self.witness is not None:
+            admission = self.admission
+            cut = None if math.isinf(admission.cut) else admission.cut
+            used = {"cut": cut, "tie": admission.tie, "draw": admission.drawn}
+            used |= {"at": self.now, **self.arriving.pop(call.id, {})}
+            self.witness(call.id, "admit", used, HELD if admitted else CUT)
+        if admitted:
             self.hold(call)
         else:
             self.refuse(call)
 
-    def aim_left(self, cls: Kind, budget: float) -> float:
+    def aim_left(self, cls: Kind, budget: float, usual: float) -> float:
         """What is left of the aim. An inner call's budget is what its caller's instance left it: its useful
         time. At the first tier a budget below the usual one tells that the client's whole time runs out, so
         how long it has waited over its earlier tries. Guards against work for answers that come too late,
         and (the median, not the longest) against a few odd budgets making every first try look late."""
-        if self.settings.stage or budget >= cls.usual_budget(budget) - STEP:
+        if self.settings.stage or budget >= usual - STEP:
             return cls.aim
         return cls.aim - (cls.deadline - budget)
 
@@ -822,13 +890,21 @@
             return
         if call.out or call.queued:
             return
-        left = call.useful_until - now
-        if self.gate.may_repeat(call) and left > cls.mean.value and self.retry_tokens >= 1:
+        repeats = self.repeats(call)
+        if self.witness is not None:
+            used = {"at": now, "mean": cls.mean.value, "tokens": self.retry_tokens, "tries": tries(call)}
+            self.witness(call.id, "repeat", used, HELD if repeats else TRIES)
+        if repeats:
             self.retry_tokens -= 1
             self.hold(call)
         else:
             self.refuse(call)
 
+    def repeats(self, call: Call) -> bool:
+        """Whether a call whose attempts have all failed is held for a further one."""
+        left = call.useful_until - self.now
+        return self.gate.may_repeat(call) and left > call.cls.mean.value and self.retry_tokens >= 1
+
     def learn(self, attempt: Attempt, status: int, elapsed: float, busy: int) -> None:
         """What an outcome says of procQ, W and the server."""
         cls, server, admission, servers = attempt.call.cls, attempt.server, self.admission, self.servers
@@ -1042,17 +1118,23 @@
         self.actions.append(Probe(server.id))
 
     # the queue
+    def too_late(self, call: Call) -> bool:
+        """It would most likely end too late: work for nothing. With nothing else out it is sent all the same,
+        so that a mean that rose too far can fall again."""
+        return bool(self.busy) and call.useful_until - self.now < call.cls.mean.value and not call.out
+
     def dispatch(self) -> None:
         place = 0
         now = self.now
         queue, servers = self.queue, self.servers
         while place < len(queue) and self.busy + 1 <= self.admission.window:
             call = queue[place]
-            if self.busy and call.useful_until - now < call.cls.mean.value and not call.out:
-                # It would most likely end too late: work for nothing. With nothing else out it is sent all
-                # the same, so that a mean that rose too far can fall again.
+            if self.too_late(call):
                 del queue[place]
                 call.queued = False
+                if self.witness is not None:
+                    used = {"at": now, "mean": call.cls.mean.value, "busy": self.busy, "tries": tries(call)}
+                    self.witness(call.id, "start", used, LATE)
                 self.refuse(call)
                 continue
             if self.asks and self.must_wait(call):
@@ -1065,6 +1147,9 @@
                 place += 1
                 continue
             server, load = choice
+            if self.witness is not None:
+                used = {"at": now, "mean": call.cls.mean.value, "busy": self.busy, "tries": tries(call)}
+                self.witness(call.id, "pick", used | servers.used(), server.id)
             until = call.deadline if call.cls.late_counts else max(call.useful_until, now + STEP)
             idle = servers.idle(server, now)
             if idle > servers.idle_safe and servers.opening < OPEN_DEAR:
@@ -1089,19 +1174,38 @@
         """A held call's wait is about (place+1)*procQ/W and must fit what is left of its usefulness."""
         if not self.queue:
             return
-        now = self.now
         wait = self.admission.proc / self.admission.window
         kept: list[Call] = []
         for call in self.queue:
-            left = call.useful_until - now
-            fits = not kept or (len(kept) + 1) * wait + TAIL * call.cls.mean.value <= left
-            # A call that asks its candidates goes out or comes back here before its deadline; one with less
-            # than a mean latency left would be work for nothing, most of all where servers are crowded.
-            asking = now < call.asked_until - 1e-9 and left > call.cls.mean.value
-            if fits and left > 0 and (asking or call.deadline - now > ANSWER_MARGIN):
+            verdict = self.holds(call, len(kept), wait)
+            if self.witness is not None and (verdict != HELD or call.place is None):
+                used = {"at": self.now, "mean": call.cls.mean.value, "place": len(kept), "before": call.place,
+                        "wait": wait, "asked_until": call.asked_until, "tries": tries(call)}  # fmt: skip
+                self.witness(call.id, "hold", used, verdict)
+            if verdict == HELD:
+                call.place = len(kept)
                 kept.append(call)
             else:
                 call.queued = False
                 if not call.out:
                     self.refuse(call)
         self.queue[:] = kept
+
+    def holds(self, call: Call, place: int, wait: float) -> str:
+        """Whether a call can wait at this place, or why not: too late for an answer, displaced by a worthier
+        one from a place where it could, or no wait there is short enough."""
+        now = self.now
+        left = call.useful_until - now
+        # A call that asks its candidates goes out or comes back here before its deadline; one with less
+        # than a mean latency left would be work for nothing, most of all where servers are crowded.
+        asking = now < call.asked_until - 1e-9 and left > call.cls.mean.value
+        if not (left > 0 and (asking or call.deadline - now > ANSWER_MARGIN)):
+            return LATE
+        if self.fits(call, place, wait, left):
+            return HELD
+        before = call.place
+        return DISPLACED if before is not None and self.fits(call, before, wait, left) else SHORT
+
+    @staticmethod
+    def fits(call: Call, place: int, wait: float, left: float) -> bool:
+        return not place or (place + 1) * wait + TAIL * call.cls.mean.value <= left
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -359,13 +359,17 @@
     # Found in incident i37a472: a few long budgets made every first try look late.
     driver = Driver(settings())
     kind = driver.balancer.kinds["safe"]
+
+    def aim_left(budget: float) -> float:
+        return driver.balancer.aim_left(kind, budget, kind.usual_budget(budget))
+
     for _ in range(40):
-        assert driver.balancer.aim_left(kind, 1.2) == pytest.approx(1.0)
-    assert driver.balancer.aim_left(kind, 1.4) == pytest.approx(1.0)
-    assert driver.balancer.aim_left(kind, 1.2) == pytest.approx(1.0)
-    assert driver.balancer.aim_left(kind, 0.9) == pytest.approx(1.0 - (2.0 - 0.9))
+        assert aim_left(1.2) == pytest.approx(1.0)
+    assert aim_left(1.4) == pytest.approx(1.0)
+    assert aim_left(1.2) == pytest.approx(1.0)
+    assert aim_left(0.9) == pytest.approx(1.0 - (2.0 - 0.9))
     inner = Driver(settings(stage=1))
-    assert inner.balancer.aim_left(inner.balancer.kinds["safe"], 0.3) == pytest.approx(1.0)
+    assert inner.balancer.aim_left(inner.balancer.kinds["safe"], 0.3, 0.0) == pytest.approx(1.0)
 
 
 def test_cold_budget_does_not_fall_with_the_send_rate() -> None:
