--- a/deploy/malabar.hcl
+++ b/deploy/malabar.hcl
@@ -1,2 +1,3 @@
-figures {
-}
+figures {}
+
+capture {}
--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -13,6 +13,7 @@
 
 from granitepoint.net import features as settings_file
 from granitepoint.net.access import AccessLog
+from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError, discovery_now, load
 from granitepoint.net.driver import Driver
 from granitepoint.net.features import Features
@@ -64,7 +65,10 @@
     term = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, term.set)
-    driver = Driver(config)
+    capture = Capture(features.capture, config) if features.capture is not None else None
+    if capture is not None:
+        loop.add_signal_handler(signal.SIGUSR2, capture.dump)
+    driver = Driver(config, capture)
     loop.add_signal_handler(signal.SIGHUP, reconfigure, driver)
     server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
     watchers: list[Watcher] = []
@@ -92,21 +96,43 @@
         task.cancel()
     if figures is not None:
         figures.close(LAST_LINES)
+    if capture is not None:
+        capture.close(LAST_LINES)
 
 
-def settings_path(arguments: list[str]) -> str | None:
+def command_line(arguments: list[str]) -> tuple[str | None, str | None]:
+    """The file of settings, and the capture to replay instead of serving."""
     if not arguments:
-        return None
+        return None, None
     import argparse  # only where there is something to read
 
     parser = argparse.ArgumentParser(prog="gladegw", description="The proxy, as EDGE_CONFIG says.")
-    parser.add_argument("-f", metavar="FILE", dest="file", help="settings of the features, in HCL blocks")
-    file: str | None = parser.parse_args(arguments).file
-    return file
+    about = "settings of the features, in HCL blocks"
+    parser.add_argument("-f", metavar="FILE", dest="file", help=about)
+    commands = parser.add_subparsers(dest="command")
+    replay = commands.add_parser("replay", help="ask the decision module again what a capture recorded")
+    replay.add_argument("-f", metavar="FILE", dest="file", help=about, default=argparse.SUPPRESS)
+    replay.add_argument("capture", metavar="CAPTURE")
+    found = parser.parse_args(arguments)
+    return found.file, found.capture if found.command == "replay" else None
+
+
+def replay_file(file: str | None, path: str) -> int:
+    from granitepoint.replay import Unusable, replay
+
+    try:
+        if file is not None:
+            settings_file.read(file)
+        return replay(path)
+    except (ConfigError, Unusable) as fault:
+        print(f"granitepoint: {fault}", file=sys.stderr)
+        return 2
 
 
 def main() -> int:
-    file = settings_path(sys.argv[1:])
+    file, capture = command_line(sys.argv[1:])
+    if capture is not None:
+        return replay_file(file, capture)
     logs: Writer | None = None
     log_format = "%(levelname)s %(name)s: %(message)s"
     try:
--- /dev/null
+++ b/granitepoint/net/capture.py
@@ -0,0 +1,316 @@
+"""The feature `capture`: what each decision used, as JSON lines by which the module can be asked again."""
+
+from __future__ import annotations
+
+import json
+import logging
+import re
+import time
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from granitepoint.interface import Arrival, ServerState
+from granitepoint.net.config import Config
+from granitepoint.net.discovery import Listed, Listing
+from granitepoint.net.reports import read_report
+from granitepoint.net.server import Request
+from granitepoint.net.writer import Writer, to_descriptor
+
+log = logging.getLogger(__name__)
+
+VERSION = 1
+LONGEST = 200  # characters of a peer's text
+STATUS = {ServerState.SERVING: "Ready", ServerState.DRAINING: "Terminating", ServerState.GONE: "Gone"}
+
+
+@dataclass(frozen=True, slots=True)
+class CaptureSettings:
+    ring_kb: int = 512
+    dir: str | None = None
+    file_kb: int = 1024
+    files: int = 8
+
+    def __post_init__(self) -> None:
+        if not 16 <= self.ring_kb <= 65_536:
+            raise ValueError(f"ring_kb must be 16 to 65536, not {self.ring_kb}")
+        if not 16 <= self.file_kb <= 1_048_576:
+            raise ValueError(f"file_kb must be 16 to 1048576, not {self.file_kb}")
+        if not 1 <= self.files <= 10_000:
+            raise ValueError(f"files must be 1 to 10000, not {self.files}")
+        if self.dir is not None and not self.dir:
+            raise ValueError("dir must name a folder")
+
+
+def encode(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def line(kind: str, **fields: Any) -> bytes:
+    return encode({"v": VERSION, "kind": kind, **fields}) + b"\n"
+
+
+class Record(bytes):
+    """A request's line, with the lists that it needs."""
+
+    lists: dict[int, bytes]
+
+
+class Files:
+    """Writes records to files that replay alone: each begins with the start record, and holds each list
+    before the first record that needs it. Runs in the writer's thread."""
+
+    def __init__(self, settings: CaptureSettings, name: str, start: bytes) -> None:
+        assert settings.dir is not None
+        self.folder, self.files, self.most = Path(settings.dir), settings.files, settings.file_kb * 1024
+        self.stem = "capture-" + re.sub(r"[^A-Za-z0-9._-]", "_", name) + "-"
+        self.start = start
+        self.path: Path | None = None
+        self.size = 0
+        self.written: set[int] = set()  # lists that the file holds
+        self.failing = False
+
+    def _present(self) -> list[Path]:
+        found = [path for path in self.folder.glob(self.stem + "*.jsonl") if self._number(path) > 0]
+        return sorted(found, key=self._number)
+
+    def _number(self, path: Path) -> int:
+        text = path.name[len(self.stem) : -len(".jsonl")]
+        return int(text) if text.isdecimal() else 0
+
+    def _next(self) -> None:
+        present = self._present()
+        number = self._number(present[-1]) + 1 if present else 1
+        self.path = self.folder / f"{self.stem}{number:06d}.jsonl"
+        self.path.open("xb").close()
+        for old in present[: max(0, len(present) + 1 - self.files)]:
+            old.unlink(missing_ok=True)
+        self.size = 0
+        self.written = set()
+
+    def write(self, lines: Sequence[bytes]) -> int:
+        try:
+            part: list[bytes] = []
+            for record in lines:
+                needed = record.lists if isinstance(record, Record) else {}
+                if self.path is None or self.size + len(record) > self.most or not self.path.exists():
+                    self._out(part)
+                    self._next()
+                    part = []
+                    self._add(part, self.start)
+                for serial, text in needed.items():
+                    if serial not in self.written:
+                        self.written.add(serial)
+                        self._add(part, text)
+                self._add(part, record)
+            self._out(part)
+        except OSError as fault:
+            self.path = None  # what is in it may end anywhere: the next record begins another file
+            if not self.failing:
+                self.failing = True
+                log.warning("capture: records stay in memory, the folder can't be written: %s", fault)
+            return len(lines)
+        self.failing = False
+        return 0
+
+    def _add(self, part: list[bytes], text: bytes) -> None:
+        part.append(text)
+        self.size += len(text)
+
+    def _out(self, part: list[bytes]) -> None:
+        if part and self.path is not None:
+            with self.path.open("ab", buffering=0) as file:
+                left = memoryview(b"".join(part))
+                while left:
+                    left = left[file.write(left) or 0 :]
+
+
+class Open:
+    """A request that has no answer yet, with the decisions on it so far."""
+
+    __slots__ = ("arrival", "lists", "request", "size", "steps")
+
+    def __init__(self, request: Request, arrival: Arrival) -> None:
+        self.request, self.arrival = request, arrival
+        self.steps: list[tuple[bytes, bytes]] = []  # of a pick, what can stand on the record; the rest
+        self.lists: set[int] = set()
+        self.size = 0
+
+
+class Capture:
+    def __init__(self, settings: CaptureSettings, config: Config) -> None:
+        self.settings = settings
+        self.most = settings.ring_kb * 1024
+        self.start = line(
+            "start", seed=f"{config.seed:x}", name=config.name, at=time.monotonic(),
+            settings=config.raw_settings,
+        )  # fmt: skip
+        self.backends: dict[str, Listed] = {}
+        self.names: dict[int, str] = {}
+        self.index = self.serial = 0
+        self.lists: dict[int, bytes] = {}  # the latest, and those that a record or an open request needs
+        self.uses: dict[int, int] = {}
+        self.reports: dict[int, tuple[str, float]] = {}  # as received, with the figure that the module takes
+        self.open: dict[int, Open] = {}
+        self.records: deque[Record] = deque()
+        self.size = len(self.start)
+        self.dumper = Writer(to_descriptor(2), 2 * self.most, "capture-dump")
+        self.filer: Writer | None = None
+        if settings.dir is not None:
+            self.filer = Writer(Files(settings, config.name, self.start).write, self.most, "capture-files")
+
+    # what the driver tells
+    def listed(self, listing: Listing) -> None:
+        """A list record is always the whole list, whatever came."""
+        if listing.whole:
+            self.backends = {}
+        for listed in listing.backends:
+            self.backends[listed.name] = listed
+        self.names = {listed.entry.server: name for name, listed in self.backends.items()}
+        before = self.serial
+        self.serial += 1
+        self.index = listing.version
+        endpoints = [
+            {"name": name, "zone": listed.entry.zone, "group": listed.entry.cell,
+             "status": STATUS[listed.entry.state], "weight": listed.entry.weight}
+            for name, listed in self.backends.items()
+        ]  # fmt: skip
+        text = line("list", list=self.serial, index=self.index, endpoints=endpoints)
+        self.lists[self.serial] = text
+        self.size += len(text)
+        self._forget_list(before)
+        gone = [name for name, listed in self.backends.items() if listed.entry.state is ServerState.GONE]
+        for name in gone:
+            del self.backends[name]
+        known = {listed.entry.server for listed in self.backends.values()}
+        self.reports = {server: report for server, report in self.reports.items() if server in known}
+        self._shrink()
+
+    def reported(self, server: int, text: bytes) -> None:
+        figure = (read_report(text) or {}).get("busy_reqs")
+        if figure is not None and server in self.names:
+            self.reports[server] = text.decode("ascii").strip()[:LONGEST], figure
+
+    def taken(self, request: Request, arrival: Arrival) -> None:
+        self.open[arrival.call] = Open(request, arrival)
+
+    def step(self, number: int, step: str, used: dict[str, Any], said: Any) -> None:
+        """The module's word on a call: what it used, and what it decided."""
+        try:
+            self._step(number, step, used, said)
+        except Exception:  # whatever a record lacks, the call goes on
+            log.exception("capture: a decision could not be recorded")
+            opened = self.open.pop(number, None)
+            if opened is not None:
+                self.size -= opened.size
+                self._unuse(list(opened.lists))
+
+    def _step(self, number: int, step: str, used: dict[str, Any], said: Any) -> None:
+        opened = self.open.get(number)
+        if opened is None:
+            return
+        top: dict[str, Any] = {}
+        if step == "pick":
+            top = self._pick(used, said)
+            self._use(opened)
+            said = None
+        elif step == "admit":
+            milliseconds = opened.request.budget * 1000
+            budget = opened.arrival.budget
+            used["spent"] = milliseconds / 1000 - budget
+            if milliseconds / 1000 - used["spent"] != budget:
+                used["budget"] = budget
+        rest = {"step": step, **used} if said is None else {"step": step, **used, "said": said}
+        parts = encode(top)[1:-1], encode(rest)[1:-1]
+        opened.steps.append(parts)
+        size = sum(map(len, parts))
+        opened.size += size
+        self.size += size
+        self._shrink()
+
+    def _pick(self, used: dict[str, Any], said: int) -> dict[str, Any]:
+        inflight, load, servers = {}, {}, {}
+        for server, known in used["servers"].items():
+            name = self.names[server]
+            inflight[name] = known.pop("out", 0)
+            report = self.reports.get(server)
+            if report is not None and "reported_at" in known and report[1] == known.get("last_report", 0.0):
+                known.pop("last_report", None)
+                load[name] = report[0]
+            servers[name] = known
+        used["servers"] = servers
+        return {"index": self.index, "list": self.serial, "inflight": inflight, "load": load,
+                "server": self.names[said]}  # fmt: skip
+
+    def ended(self, number: int, code: int | None) -> None:
+        """The request's record; a code of None: the caller left first."""
+        opened = self.open.pop(number, None)
+        if opened is None:
+            return
+        self._use(opened)
+        picks = [place for place, (top, _) in enumerate(opened.steps) if top]
+        last = picks[-1] if picks else -1
+        request = opened.request
+        budget_ms = request.budget * 1000
+        head = {
+            "v": VERSION, "kind": "req", "id": request.id.decode("latin-1")[:LONGEST], "class": request.cls,
+            "tenant": request.tenant[:LONGEST],
+            "budget_ms": int(budget_ms) if budget_ms == int(budget_ms) else budget_ms,
+        }  # fmt: skip
+        top = encode({"index": self.index, "list": self.serial, "inflight": {}, "load": {}, "server": None})
+        steps = [
+            b"{" + top + b"," + rest + b"}" if top and place != last else b"{" + rest + b"}"
+            for place, (top, rest) in enumerate(opened.steps)
+        ]
+        record = Record(
+            encode(head)[:-1] + b"," + (opened.steps[last][0] if picks else top[1:-1])
+            + b',"answer":' + encode(code) + b',"steps":[' + b",".join(steps) + b"]}\n"
+        )  # fmt: skip
+        record.lists = {serial: self.lists[serial] for serial in sorted(opened.lists)}
+        self.size += len(record) - opened.size
+        self.records.append(record)
+        if self.filer is not None:
+            self.filer.put([record])
+        self._shrink()
+
+    # the ring
+    def _use(self, opened: Open) -> None:
+        if self.serial not in opened.lists and self.serial in self.lists:
+            opened.lists.add(self.serial)
+            self.uses[self.serial] = self.uses.get(self.serial, 0) + 1
+
+    def _unuse(self, serials: Sequence[int]) -> None:
+        for serial in serials:
+            self.uses[serial] -= 1
+            self._forget_list(serial)
+
+    def _forget_list(self, serial: int) -> None:
+        if serial != self.serial and not self.uses.get(serial):
+            self.uses.pop(serial, None)
+            self.size -= len(self.lists.pop(serial, b""))
+
+    def _shrink(self) -> None:
+        """The oldest records go first, then what is told of the oldest open request."""
+        while self.size > self.most and (self.records or self.open):
+            if self.records:
+                record = self.records.popleft()
+                self.size -= len(record)
+                self._unuse(list(record.lists))
+            else:
+                opened = self.open.pop(next(iter(self.open)))
+                self.size -= opened.size
+                self._unuse(list(opened.lists))
+
+    def dump(self) -> None:
+        """The ring to standard error: start, lists, records."""
+        if self.dumper.size or self.dumper.writing:
+            log.warning("capture: the last dump is still being written")
+            return
+        self.dumper.put([self.start, *self.lists.values(), *self.records])
+
+    def close(self, patience: float) -> None:
+        for writer in (self.dumper, self.filer):
+            if writer is not None:
+                writer.close(patience)
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -5,7 +5,7 @@
 import json
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +28,7 @@
     sockets: int  # file descriptors that the process may hold
     known: Mapping[str, Any]  # the list of backends as last held, in discovery's form
     settings: Settings
+    raw_settings: Mapping[str, Any] = field(default_factory=dict)  # as the file holds them
 
 
 def address(text: object) -> Address:
@@ -111,6 +112,7 @@
             sockets=sockets,
             known=known,
             settings=read_settings(flatten(raw["settings"])),
+            raw_settings=raw["settings"],
         )
     except (OSError, ValueError, TypeError, AttributeError) as fault:
         raise _fault(fault) from None
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -34,6 +34,7 @@
 class Listed:
     """A backend as a list names it."""
 
+    name: str
     address: Address
     entry: ServerEntry
 
@@ -74,7 +75,7 @@
     )
     if not (entry.weight - entry.weight == 0.0 and started - started == 0.0):
         raise ValueError("a figure of the list is not finite")
-    return Listed(address(item["address"]), entry)
+    return Listed(str(item["name"]), address(item["address"]), entry)
 
 
 class _Channel(asyncio.Protocol):
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -14,8 +14,10 @@
 
 from granitepoint import interface as api
 from granitepoint.logic import Balancer
+from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
+from granitepoint.net.reports import read_report
 from granitepoint.net.server import Reply, Request
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
 
@@ -28,25 +30,6 @@
 MOST_PROBES = 32  # at once
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
-REPORT_FIELDS = {
-    "inflight": "busy_reqs", "queue": "pending", "util": "cpu_share",
-    "latency_ms": "svc_ms", "qps": "served_ps", "eps": "failed_ps",
-}  # fmt: skip
-
-
-def read_report(text: bytes) -> dict[str, float] | None:
-    """`inflight=7,queue=2` under the module's names; None where it holds nothing usable."""
-    report = {}
-    try:
-        for pair in text.decode("ascii").strip().split(","):
-            name, _, value = pair.partition("=")
-            name = REPORT_FIELDS.get(name.strip(), name.strip())
-            figure = float(value)
-            if figure - figure == 0.0:
-                report[name] = figure
-    except ValueError:
-        return None
-    return report or None
 
 
 class OpenCall:
@@ -64,7 +47,8 @@
 
 
 class Driver:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, capture: Capture | None = None) -> None:
+        self.capture = capture
         self.loop = asyncio.get_running_loop()
         self.config, self.settings = config, config.settings
         self.effects = {cls.name: cls.effect for cls in self.settings.classes}
@@ -101,6 +85,9 @@
             raise ConfigError(f"bad configuration: known: {fault}") from None
         self.discovery = Discovery(config.discovery, known.version, self._on_list, self._on_list_failed)
         self.upstreams.apply(known)
+        if capture is not None:
+            self.balancer.witness = capture.step
+            capture.listed(known)
         self.events.append(self._server_list(known, api.ListKind.SAVED))
 
     def start(self) -> None:
@@ -159,6 +146,8 @@
 
     def _on_list(self, listing: Listing) -> None:
         self.upstreams.apply(listing)
+        if self.capture is not None:
+            self.capture.listed(listing)
         kind = api.ListKind.FULL if listing.whole else api.ListKind.INCREMENTAL
         self._push(self._server_list(listing, kind))
 
@@ -187,22 +176,23 @@
         self.ids.add(request.id)
         now = time.monotonic()
         call.timer = self.loop.call_later(max(0.0, deadline - now), self._overdue, call)
-        self._push(
-            api.Arrival(
-                call=number,
-                cls=request.cls,
-                budget=deadline - MODULE_MARGIN - now,
-                tenant=request.tenant,
-                work=request.work,
-                resent=request.resent,
-                key=request.subject,
-            )
+        arrival = api.Arrival(
+            call=number,
+            cls=request.cls,
+            budget=deadline - MODULE_MARGIN - now,
+            tenant=request.tenant,
+            work=request.work,
+            resent=request.resent,
+            key=request.subject,
         )
+        if self.capture is not None:
+            self.capture.taken(request, arrival)
+        self._push(arrival)
         return call
 
     def left(self, call: OpenCall) -> None:
         if call.open:
-            self._settle(call)
+            self._settle(call, None)
             self._push(api.Gone(call.number))
 
     def _overdue(self, call: OpenCall, late: bool = False) -> None:
@@ -222,11 +212,13 @@
 
     def _close(self, call: OpenCall, code: int, headers: Any, body: bytes) -> None:
         """The final answer. After it the call is gone from the table, so there is no second one."""
-        self._settle(call)
+        self._settle(call, code)
         call.reply.answer(code, headers, body)
 
-    def _settle(self, call: OpenCall) -> None:
+    def _settle(self, call: OpenCall, code: int | None) -> None:
         call.open = False
+        if self.capture is not None:
+            self.capture.ended(call.number, code)
         self.calls.pop(call.number, None)
         if call.exchange is None:
             self.ids.discard(call.request.id)
@@ -281,6 +273,8 @@
             for name, value in exchange.headers:
                 if name == b"x-load-report":
                     report = read_report(value)
+                    if self.capture is not None:
+                        self.capture.reported(server, value)
         self._push(
             api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report)
         )
@@ -316,6 +310,8 @@
             status = exchange.status
             assert status is not None
             report = read_report(exchange.body) if status is api.Status.OK else None
+            if report is not None and self.capture is not None:
+                self.capture.reported(action.server, exchange.body)
             if status is api.Status.MOOT:
                 status = api.Status.FULL  # not asked, so nothing is known against it
             self._push(api.Probed(action.server, status, exchange.elapsed, report))
--- a/granitepoint/net/features.py
+++ b/granitepoint/net/features.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from granitepoint.net import hcl
+from granitepoint.net.capture import CaptureSettings
 from granitepoint.net.config import ConfigError
 from granitepoint.net.figures import FiguresSettings
 from granitepoint.net.tls import TlsSettings
@@ -18,12 +19,13 @@
 class Features:
     figures: FiguresSettings | None = None
     tls: TlsSettings | None = None
+    capture: CaptureSettings | None = None
 
     def __bool__(self) -> bool:
         return any(getattr(self, field.name) is not None for field in dataclasses.fields(self))
 
 
-BLOCKS: dict[str, Any] = {"figures": FiguresSettings, "tls": TlsSettings}
+BLOCKS: dict[str, Any] = {"figures": FiguresSettings, "tls": TlsSettings, "capture": CaptureSettings}
 
 
 def _text(value: object) -> bool:
--- /dev/null
+++ b/granitepoint/net/reports.py
@@ -0,0 +1,23 @@
+"""Load reports of backends, as they come."""
+
+from __future__ import annotations
+
+REPORT_FIELDS = {
+    "inflight": "busy_reqs", "queue": "pending", "util": "cpu_share",
+    "latency_ms": "svc_ms", "qps": "served_ps", "eps": "failed_ps",
+}  # fmt: skip
+
+
+def read_report(text: bytes) -> dict[str, float] | None:
+    """`inflight=7,queue=2` under the module's names; None where it holds nothing usable."""
+    report = {}
+    try:
+        for pair in text.decode("ascii").strip().split(","):
+            name, _, value = pair.partition("=")
+            name = REPORT_FIELDS.get(name.strip(), name.strip())
+            figure = float(value)
+            if figure - figure == 0.0:
+                report[name] = figure
+    except ValueError:
+        return None
+    return report or None
--- /dev/null
+++ b/granitepoint/replay.py
@@ -0,0 +1,228 @@
+"""`gladegw replay`: asks the decision module again with what a capture says that it used.
+
+Each recorded decision is made by the module's own functions, on a Balancer that holds what was recorded and
+nothing else; the draws are the recorded ones. What it says now is compared with what it said then.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+from collections.abc import Iterator
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from granitepoint.benchlink import read_settings
+from granitepoint.interface import Arrival, ServerEntry, Settings
+from granitepoint.logic import (
+    CUT,
+    HELD,
+    LATE,
+    TRIES,
+    USED_OF_SERVER,
+    Admission,
+    Attempt,
+    Balancer,
+    Call,
+    Mean,
+    Server,
+    Servers,
+)
+from granitepoint.net.capture import VERSION
+from granitepoint.net.config import flatten
+from granitepoint.net.discovery import STATES, server_id
+from granitepoint.net.reports import read_report
+
+PLAIN = re.compile(r"[\w.:-]+", re.ASCII)
+UNDRAWN = 0.5  # for a draw that the changed inputs need and the recorded ones did not
+
+Difference = tuple[str, str]
+
+
+class Unusable(Exception):
+    """What was read is no capture that this program can replay; the message is one line."""
+
+
+class ToldServers(Servers):
+    def draw(self, server: Server) -> float:
+        return server.drawn
+
+
+class ToldAdmission(Admission):
+    told: float | None = None
+
+    def draw(self) -> float:
+        return UNDRAWN if self.told is None else self.told
+
+
+def word(verdict: str) -> str:
+    return verdict if verdict == HELD else f"refused-{verdict}"
+
+
+def plain(text: str) -> str:
+    """A peer's text as one word."""
+    return text if PLAIN.fullmatch(text) else json.dumps(text)
+
+
+class Again:
+    """One request's decisions, made again."""
+
+    def __init__(self, settings: Settings, lists: dict[int, dict[str, Any]], record: dict[str, Any]) -> None:
+        self.settings, self.lists, self.record = settings, lists, record
+        self.balancer = Balancer(settings, 0)
+        self.admission = self.balancer.admission = ToldAdmission(settings.stage, Random(0))
+        self.servers = self.balancer.servers = ToldServers(settings, Random(0))
+        self.cls = self.balancer.kinds.get(record["class"])
+        self.call: Call | None = None
+        self.sent: list[Server] = []  # by attempt
+
+    def difference(self) -> Difference | None:
+        """The first; what comes after it was decided on another course."""
+        steps = self.record["steps"]
+        last = max((place for place, step in enumerate(steps) if step["step"] == "pick"), default=-1)
+        for place, step in enumerate(steps):
+            if step["step"] == "pick":
+                told = self.record if place == last else step
+                recorded, replayed = str(told["server"]), self.pick(step, told)
+            else:
+                recorded, replayed = word(step["said"]), word(self.ask(step))
+            if recorded != replayed:
+                return recorded, replayed
+        return None
+
+    def ask(self, step: dict[str, Any]) -> str:
+        self.balancer.now = step["at"]
+        if step["step"] == "admit":
+            return self.admit(step)
+        call = self.resume(step)
+        if step["step"] == "hold":
+            call.place, call.asked_until = step["before"], step["asked_until"]
+            return self.balancer.holds(call, step["place"], step["wait"])
+        if step["step"] == "start":
+            self.balancer.busy = step["busy"]
+            return LATE if self.balancer.too_late(call) else HELD
+        if step["step"] == "repeat":
+            self.balancer.retry_tokens = step["tokens"]
+            return HELD if self.balancer.repeats(call) else TRIES
+        raise Unusable(f"unknown step {step['step']!r}")
+
+    def admit(self, step: dict[str, Any]) -> str:
+        record, balancer = self.record, self.balancer
+        budget = step.get("budget", record["budget_ms"] / 1000 - step["spent"])
+        if self.cls is None or not 0 < budget < math.inf:
+            return CUT
+        quota = None
+        if self.settings.stage == 0 and record["tenant"] in balancer.quota:
+            quota = balancer.quota[record["tenant"]] if step.get("quota") is None else step["quota"]
+        event = Arrival(1, record["class"], budget, record["tenant"], step.get("work", 0.0))
+        self.call = balancer.call(event, self.cls, quota, step.get("usual", 0.0))
+        cut = step.get("cut")
+        self.admission.cut, self.admission.tie = -math.inf if cut is None else cut, step.get("tie", 0.0)
+        self.admission.told = step.get("draw")
+        return HELD if balancer.admits(self.call) else CUT
+
+    def resume(self, step: dict[str, Any]) -> Call:
+        """The call as it stood at this step."""
+        call = self.call
+        if call is None:
+            raise Unusable("the request was never admitted")
+        call.cls.mean.value = step["mean"]
+        call.attempts = []
+        for number, (status, sent_at) in enumerate(step["tries"]):
+            attempt = Attempt(call, number, self.sent[number], sent_at, 0.0)
+            attempt.status = status
+            call.attempts.append(attempt)
+        call.out = sum(1 for attempt in call.attempts if attempt.status < 0)
+        return call
+
+    def pick(self, step: dict[str, Any], told: dict[str, Any]) -> str:
+        servers, balancer = self.servers, self.balancer
+        balancer.now, balancer.busy = step["at"], step["busy"]
+        call = self.resume(step)
+        listed = self.lists.get(told["list"])
+        if listed is None or listed["index"] != told["index"]:
+            raise Unusable(f"list {told['list']} with index {told['index']} is missing")
+        names = {}
+        entries = {endpoint["name"]: endpoint for endpoint in listed["endpoints"]}
+        servers.pool = []
+        for name, known in step["servers"].items():
+            server = self.server(entries[name], known, told["inflight"][name], told["load"].get(name))
+            servers.pool.append(server)
+            names[server.id] = name
+        servers.unit, servers.idle_safe = step["unit"], step["idle_safe"]
+        servers.mean_load.value = step["mean_load"]
+        servers.on_new.value, servers.on_open.value = step["on_new"], step["on_open"]
+        servers.zone_load = {zone: Mean(value) for zone, value in step["zones"].items()}
+        if told["server"] not in entries:
+            return "none"  # the recorded one is no server of this list
+        self.sent.append(self.server(entries[told["server"]], {}, 0, None))
+        if balancer.too_late(call):
+            return word(LATE)
+        choice = servers.pick(call, balancer.gate, balancer.now)
+        return "none" if choice is None else names[choice[0].id]
+
+    @staticmethod
+    def server(endpoint: dict[str, Any], known: dict[str, Any], inflight: int, load: str | None) -> Server:
+        entry = ServerEntry(
+            server=server_id(endpoint["name"]),
+            zone=endpoint["zone"],
+            cell=endpoint["group"],
+            state=STATES[endpoint["status"]],
+            weight=endpoint["weight"],
+        )
+        server = Server(entry, 0.0)
+        for name, nothing in USED_OF_SERVER.items():
+            setattr(server, name, known.get(name, nothing))
+        server.out = inflight
+        if load is not None:
+            server.last_report = (read_report(load.encode()) or {}).get("busy_reqs", 0.0)
+        return server
+
+
+def differences(path: str) -> Iterator[tuple[str, Difference]]:
+    """The requests on which the module says something else now; raises Unusable."""
+    settings: Settings | None = None
+    lists: dict[int, dict[str, Any]] = {}
+    number = 0
+    try:
+        with Path(path).open("rb") as file:
+            for line in file:
+                number += 1
+                if not line.startswith(b"{"):
+                    continue  # of the log that a dump stands in
+                record = json.loads(line)
+                if record.get("v") != VERSION:
+                    raise Unusable(f"version {record.get('v')!r} is not known, only {VERSION}")
+                kind = record.get("kind")
+                if kind == "start":
+                    settings, lists = read_settings(flatten(record["settings"])), {}
+                elif settings is None:
+                    raise Unusable("there is no start record before it")
+                elif kind == "list":
+                    lists[record["list"]] = record
+                elif kind == "req":
+                    found = Again(settings, lists, record).difference()
+                    if found is not None:
+                        yield str(record["id"]), found
+                else:
+                    raise Unusable(f"unknown kind {kind!r}")
+    except Unusable as fault:
+        raise Unusable(f"{path}:{number}: {fault}") from None
+    except OSError as fault:
+        raise Unusable(f"{path}: {fault.strerror or fault}") from None
+    except (ValueError, KeyError, IndexError, TypeError, AttributeError) as fault:
+        text = " ".join(f"malformed record: {fault!r}".split())
+        raise Unusable(f"{path}:{number}: {text}") from None
+    if settings is None:
+        raise Unusable(f"{path}:{number}: no start record")
+
+
+def replay(path: str) -> int:
+    """Prints the differences; 0 without any, else 1."""
+    code = 0
+    for id, (recorded, replayed) in differences(path):
+        print(f"{plain(id)} recorded={plain(recorded)} replayed={plain(replayed)}")
+        code = 1
+    return code
