--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -13,6 +13,7 @@
 
 from granitepoint.net import features as settings_file
 from granitepoint.net.access import AccessLog
+from granitepoint.net.addresses import Addresses
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError, discovery_now, load
 from granitepoint.net.driver import Driver
@@ -76,7 +77,9 @@
     if figures is not None:
         watchers.append(figures)
     tls = Tls(features.tls) if features.tls is not None else None
-    if tls is not None:
+    if features.addresses is not None:
+        server.door = Addresses(features.addresses)
+    if tls is not None or features.addresses is not None:
         watchers.append(AccessLog())
     server.watchers = tuple(watchers)
     driver.start()
--- a/granitepoint/net/features.py
+++ b/granitepoint/net/features.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from granitepoint.net import hcl
+from granitepoint.net.addresses import AddressSettings
 from granitepoint.net.capture import CaptureSettings
 from granitepoint.net.config import ConfigError
 from granitepoint.net.figures import FiguresSettings
@@ -20,12 +21,15 @@
     figures: FiguresSettings | None = None
     tls: TlsSettings | None = None
     capture: CaptureSettings | None = None
+    addresses: AddressSettings | None = None
 
     def __bool__(self) -> bool:
         return any(getattr(self, field.name) is not None for field in dataclasses.fields(self))
 
 
-BLOCKS: dict[str, Any] = {"figures": FiguresSettings, "tls": TlsSettings, "capture": CaptureSettings}
+BLOCKS: dict[str, Any] = {
+    "figures": FiguresSettings, "tls": TlsSettings, "capture": CaptureSettings, "addresses": AddressSettings,
+}  # fmt: skip
 
 
 def _text(value: object) -> bool:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -36,9 +36,9 @@
 BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
 REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 409: b"Conflict", 413: b"Content Too Large",
-    429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    200: b"OK", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found", 409: b"Conflict",
+    413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
 
@@ -64,11 +64,14 @@
     """Who is at the other end of a connection, where a feature has to know."""
 
     client: str  # address and port
+    via: str | None = None  # the front's address
+    denied: bool = False
     subject: str | None = None  # of its certificate; None: not TLS
 
     def told(self) -> str:
+        via = "" if self.via is None else f" via={self.via}"
         subject = "" if self.subject is None else f" client_subject={json.dumps(self.subject)}"
-        return f"client={self.client}{subject}"
+        return f"client={self.client}{via}{subject}"
 
 
 @dataclass(slots=True)
@@ -102,6 +105,16 @@
     context: ssl.SSLContext
 
 
+class TurnedAway(Exception):
+    """A connection is closed before HTTP; the message says why, if there is anything to say."""
+
+
+class Door(Protocol):
+    """Who a connection's client is, from what comes before TLS and HTTP; raises TurnedAway."""
+
+    async def meet(self, sock: socket.socket) -> Peer: ...
+
+
 class Handler(Protocol):
     """What the callers' side asks of the driver."""
 
@@ -344,7 +357,10 @@
             if self.asked is not None:
                 for watcher in self.server.watchers:
                     watcher.begun(self.asked)
-            if request is None:
+            if self.peer is not None and self.peer.denied:
+                self.keep_alive = False
+                self.answer(403, NO_HEADERS, b"this address is not admitted\n")
+            elif request is None:
                 ready = self.server.handler.ready()
                 self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
             elif isinstance(request, BadRequest):
@@ -424,6 +440,7 @@
         self.accepting: dict[socket.socket, asyncio.Task[None]] = {}  # listeners whose connections are met
         self.entering: dict[asyncio.Task[None], None] = {}  # the oldest first
         self.watchers: tuple[Watcher, ...] = ()
+        self.door: Door | None = None
 
     def crowded(self) -> bool:
         return len(self.connections) > self.most_open
@@ -438,12 +455,14 @@
                 oldest.close()
                 self.connections.discard(oldest)
 
-    async def listen(self, host: str, port: int) -> int:
-        self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=1024
-        )
+    async def listen(self, host: str, port: int) -> None:
+        if self.door is not None:
+            self._accept(host, port, None)
+        else:
+            self.listener = await self.loop.create_server(
+                lambda: ClientConnection(self), host, port, backlog=1024
+            )
         self.loop.call_later(SWEEP, self._sweep)
-        return int(self.listener.sockets[0].getsockname()[1])
 
     def listen_tls(self, host: str, port: int, certificates: Certificates) -> None:
         self._accept(host, port, certificates)
@@ -472,8 +491,13 @@
         """All that comes before HTTP, within the time of a first request."""
         begun_at = time.monotonic()
         handed_on = False
+        told = "unknown"
         try:
             peer = Peer(told_address(sock.getpeername()))
+            told = peer.client
+            if self.door is not None:
+                async with asyncio.timeout(FIRST_WHOLE):
+                    peer = await self.door.meet(sock)
             left = begun_at + FIRST_WHOLE - time.monotonic()
             more: dict[str, Any] = {}
             if certificates is not None:
@@ -483,9 +507,14 @@
             await self.loop.connect_accepted_socket(
                 lambda: ClientConnection(self, peer, begun_at), sock, **more
             )
+        except TurnedAway as fault:
+            if str(fault):
+                log.warning("connection closed: client=%s reason=%s", told, fault)
         except OSError as fault:
             if handed_on and certificates is not None:
-                log.warning("tls: handshake refused: client=%s reason=%s", peer.client, reason(fault))
+                log.warning("tls: handshake refused: %s reason=%s", peer.told(), reason(fault))
+            elif isinstance(fault, TimeoutError):
+                log.warning("connection closed: client=%s reason=nothing came in time", told)
         except Exception:
             log.exception("a connection could not be taken")
         finally:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -249,12 +249,12 @@
     )  # fmt: skip
 
 
-async def until_ready(address: tuple[str, int]) -> None:
+async def until_ready(address: tuple[str, int], greeting: bytes = b"") -> None:
     async with asyncio.timeout(PATIENCE):
         while True:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 caller = Caller(*await asyncio.open_connection(*address))
-                reply = await caller.raw(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+                reply = await caller.raw(greeting + b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
                 caller.writer.close()
                 if reply.code == 200:
                     return
@@ -263,10 +263,11 @@
 
 @contextlib.asynccontextmanager
 async def proxy(
-    backends: dict[str, Backend], discovery: Discovery | None = None, features: str = "", **changes: Any
+    backends: dict[str, Backend], discovery: Discovery | None = None, features: str = "",
+    greeting: bytes = b"", **changes: Any,
 ) -> AsyncIterator[Proxy]:
     """A proxy before these backends, ready; ended by force if the test has not ended it. `features` is the
-    text of its settings file."""
+    text of its settings file, `greeting` what a connection begins with there."""
     own = discovery or await Discovery().start()
     for backend in backends.values():
         if not backend.address:
@@ -280,7 +281,7 @@
         arguments = ("-f", str(file)) if features else ()
         process = await start_program(config(own.address, known, listen, **changes), folder, *arguments)
         try:
-            ready = asyncio.create_task(until_ready((host, int(port))))
+            ready = asyncio.create_task(until_ready((host, int(port)), greeting))
             ended = asyncio.create_task(process.wait())
             await asyncio.wait((ready, ended), return_when=asyncio.FIRST_COMPLETED)
             if ended.done():
