--- a/granitepoint/net/capture.py
+++ b/granitepoint/net/capture.py
@@ -44,8 +44,11 @@
             raise ValueError("dir must name a folder")
 
 
+_encoder = json.JSONEncoder(separators=(",", ":"))  # kept: making one costs as much as a short record
+
+
 def encode(value: Any) -> bytes:
-    return json.dumps(value, separators=(",", ":")).encode()
+    return _encoder.encode(value).encode()
 
 
 def line(kind: str, **fields: Any) -> bytes:
@@ -211,9 +214,9 @@
         opened = self.open.get(number)
         if opened is None:
             return
-        top: dict[str, Any] = {}
+        top = b""
         if step == "pick":
-            top = self._pick(used, said)
+            top = encode(self._pick(used, said))[1:-1]
             self._use(opened)
             said = None
         elif step == "admit":
@@ -223,9 +226,9 @@
             if milliseconds / 1000 - used["spent"] != budget:
                 used["budget"] = budget
         rest = {"step": step, **used} if said is None else {"step": step, **used, "said": said}
-        parts = encode(top)[1:-1], encode(rest)[1:-1]
-        opened.steps.append(parts)
-        size = sum(map(len, parts))
+        text = encode(rest)[1:-1]
+        opened.steps.append((top, text))
+        size = len(top) + len(text)
         opened.size += size
         self.size += size
         self._shrink()
@@ -259,14 +262,15 @@
             "tenant": request.tenant[:LONGEST],
             "budget_ms": int(budget_ms) if budget_ms == int(budget_ms) else budget_ms,
         }  # fmt: skip
-        top = encode({"index": self.index, "list": self.serial, "inflight": {}, "load": {}, "server": None})
+        unpicked = b'"index":%d,"list":%d,"inflight":{},"load":{},"server":null' % (self.index, self.serial)
         steps = [
             b"{" + top + b"," + rest + b"}" if top and place != last else b"{" + rest + b"}"
             for place, (top, rest) in enumerate(opened.steps)
         ]
         record = Record(
-            encode(head)[:-1] + b"," + (opened.steps[last][0] if picks else top[1:-1])
-            + b',"answer":' + encode(code) + b',"steps":[' + b",".join(steps) + b"]}\n"
+            encode(head)[:-1] + b"," + (opened.steps[last][0] if picks else unpicked)
+            + b',"answer":' + (b"null" if code is None else b"%d" % code)
+            + b',"steps":[' + b",".join(steps) + b"]}\n"
         )  # fmt: skip
         record.lists = {serial: self.lists[serial] for serial in sorted(opened.lists)}
         self.size += len(record) - opened.size
