--- a/granitepoint/net/hcl.py
+++ b/granitepoint/net/hcl.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import re
 import sys
 from hashlib import blake2b
 from pathlib import Path
@@ -19,22 +20,44 @@
 KEPT = "gladegw-settings"  # folder below the environment's
 BLOCK = "__is_block__"  # by which the parser marks what is no attribute
 
+MARKS = re.compile(r'"(?:\\.|[^"\\])*"|#[^\n]*|//[^\n]*|/\*.*?\*/|[][{},]', re.S)
+
 Blocks = dict[str, dict[str, Any]]
 
 
+def one_a_line(text: str) -> str:
+    """The operators also write a block on one line, with commas between its settings. HCL wants lines."""
+    lists = 0
+
+    def line(mark: re.Match[str]) -> str:
+        nonlocal lists
+        sign = mark[0]
+        lists += (sign == "[") - (sign == "]")
+        return {"{": "{\n", "}": "\n}", ",": "\n"}.get(sign, sign) if not lists else sign
+
+    return MARKS.sub(line, text)
+
+
 def parse(text: str) -> Blocks:
     """The blocks by name; raises ValueError in one line."""
     import hcl2
     from hcl2.utils import SerializationOptions
     from lark.exceptions import LarkError
 
+    wanted = SerializationOptions(with_comments=False, strip_string_quotes=True, preserve_heredocs=False)
+    raw: dict[str, Any]
     try:
-        wanted = SerializationOptions(with_comments=False, strip_string_quotes=True, preserve_heredocs=False)
-        raw: dict[str, Any] = hcl2.loads(text, serialization_options=wanted)
+        try:
+            raw = hcl2.loads(text, serialization_options=wanted)
+        except LarkError as fault:
+            try:
+                raw = hcl2.loads(one_a_line(text), serialization_options=wanted)
+            except LarkError:
+                raise fault from None
     except LarkError as fault:
         line, column = getattr(fault, "line", 0), getattr(fault, "column", 0)
         place = f" at line {line}, column {column}" if line > 0 else ""
-        raise ValueError(f"not HCL{place} (each setting stands on a line of its own)") from None
+        raise ValueError(f"not HCL{place}") from None
     blocks: Blocks = {}
     for name, found in raw.items():
         if not (isinstance(found, list) and found and all(isinstance(b, dict) and BLOCK in b for b in found)):
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -18,6 +18,7 @@
 from netkit import PATIENCE, Backend, Caller, proxy, start_program
 
 from granitepoint import Tenant
+from granitepoint.net import features
 from granitepoint.net.figures import DATAGRAM, Figures, FiguresSettings, LineFormat, StatsD, datagrams
 from granitepoint.net.server import Asked
 from granitepoint.net.writer import Writer
@@ -150,8 +151,8 @@
     async def test() -> None:
         folder = tmp_path / "figures"
         folder.mkdir()
-        features = f'figures {{\n  flush_ms = 50\n  file = "{folder}/out.statsd"\n}}\n'
-        async with proxy({"s-1": Backend()}, features=features, tenants=TENANTS) as node:
+        text = f'figures {{\n  flush_ms = 50\n  file = "{folder}/out.statsd"\n}}\n'
+        async with proxy({"s-1": Backend()}, features=text, tenants=TENANTS) as node:
             caller = await node.caller()
             for number in range(3):
                 reply = await caller.call("stock", f"{number:016x}", X_Caller="coastal-cabs")
@@ -205,8 +206,8 @@
 
 def test_a_pipe_that_nobody_reads_holds_up_no_request() -> None:
     async def test() -> None:
-        features = "figures {\n  flush_ms = 10\n  buffer_kb = 4\n}\n"
-        async with proxy({"s-1": Backend()}, features=features) as node:
+        text = "figures {\n  flush_ms = 10\n  buffer_kb = 4\n}\n"
+        async with proxy({"s-1": Backend()}, features=text) as node:
             transport: Any = node.process._transport  # type: ignore[attr-defined]
             transport.get_pipe_transport(2).pause_reading()
             caller = await node.caller()
@@ -226,8 +227,8 @@
             target.bind(("127.0.0.1", 0))
             target.settimeout(PATIENCE)
             port = target.getsockname()[1]
-            features = f'figures {{\n  udp = "127.0.0.1:{port}"\n  flush_ms = 20\n  format = "{form}"\n}}\n'
-            async with proxy({"s-1": Backend()}, features=features) as node:
+            text = f'figures {{\n  udp = "127.0.0.1:{port}"\n  flush_ms = 20\n  format = "{form}"\n}}\n'
+            async with proxy({"s-1": Backend()}, features=text) as node:
                 assert (await (await node.caller()).call("stock", "a" * 16)).code == 200
                 told = await asyncio.to_thread(target.recv, 65536)
                 await node.line("inflight", "class")
@@ -236,6 +237,27 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    "text",
+    ['figures { format = "line", flush_ms = 500, file = "a,{b}" }\ncapture {}  # none, yet\n',
+     'figures {\n  format = "line"\n  flush_ms = 500\n  file = "a,{b}"\n}\ncapture {\n}\n'],
+)  # fmt: skip
+def test_settings_stand_on_lines_or_between_commas(text: str, tmp_path: Path) -> None:
+    file = tmp_path / "malabar.hcl"
+    file.write_text(text)
+    found = features.read(str(file))
+    assert found.figures == FiguresSettings(format="line", flush_ms=500, file="a,{b}")
+    assert found.capture is not None and found.tls is None and found.addresses is None
+
+
+def test_a_list_keeps_its_commas(tmp_path: Path) -> None:
+    file = tmp_path / "malabar.hcl"
+    file.write_text('addresses { deny = ["198.51.100.0/24", "2001:db8::/32"], proxy_protocol = "any" }')
+    found = features.read(str(file)).addresses
+    assert found is not None and found.deny == ("198.51.100.0/24", "2001:db8::/32")
+    assert found.proxy_protocol == "any"
+
+
 BAD = {
     "unknown block figure": "figure {\n}\n",
     "unknown setting speed": "figures {\n  speed = 1\n}\n",
