--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -739,6 +739,7 @@
         for call in fresh:
             if not call.ended:  # the client may leave within the batch that it came in
                 self.admit(call)
+        self.arriving.clear()
         self.dispatch()
         self.shrink()
         if not self.timer_set:
@@ -809,7 +810,7 @@
             admission = self.admission
             cut = None if math.isinf(admission.cut) else admission.cut
             used = {"cut": cut, "tie": admission.tie, "draw": admission.drawn}
-            used |= {"at": self.now, **self.arriving.pop(call.id, {})}
+            used |= {"at": self.now, **self.arriving[call.id]}
             self.witness(call.id, "admit", used, HELD if admitted else CUT)
         if admitted:
             self.hold(call)
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -294,6 +294,16 @@
     assert watched.balancer.random.getstate() == alone.balancer.random.getstate()
 
 
+def test_a_caller_that_leaves_in_the_batch_that_it_came_in_leaves_nothing_behind() -> None:
+    world = World(capture_of(), read_settings(flatten(settings())), 3)
+    for _ in range(20):
+        came = world.arrive()
+        assert isinstance(came, Arrival)
+        world.step([came, Gone(came.call)])
+    assert not world.balancer.arriving
+    assert world.capture is not None and not world.capture.open and len(world.capture.records) == 20
+
+
 def test_a_full_ring_keeps_the_latest_start_and_lists_and_what_is_left_replays(tmp_path: Path) -> None:
     capture = capture_of(ring_kb=64)
     World(capture, read_settings(flatten(settings())), 3).play()
