--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -38,6 +38,14 @@
 }  # fmt: skip
 
 
+def run(test: Coroutine[Any, Any, None]) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(4 * PATIENCE):
+            await test
+
+    asyncio.run(bounded())
+
+
 class Seen:
     """A request as a backend got it."""
 
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -8,13 +8,12 @@
 import ssl
 import struct
 import time
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
 from certificates import Authority
-from netkit import PATIENCE, Backend, Caller, Proxy, free_port, proxy
+from netkit import PATIENCE, Backend, Caller, Proxy, free_port, proxy, run
 
 from granitepoint.net.addresses import (
     LONGEST,
@@ -30,14 +29,6 @@
 BOTH = (1, 2)
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(4 * PATIENCE):
-            await test
-
-    asyncio.run(bounded())
-
-
 def v2(source: str, port: int, command: int = 1, extra: bytes = b"") -> bytes:
     ip = ipaddress.ip_address(source)
     kind, other = (0x11, b"\x7f\0\0\1") if ip.version == 4 else (0x21, b"\0" * 15 + b"\1")
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -8,7 +8,6 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +24,7 @@
     listing,
     proxy,
     response,
+    run,
 )
 
 from granitepoint import Arrival, Balancer, Gone, ListKind, Outcome, Probe, Probed, Send, ServerList, Status
@@ -41,14 +41,6 @@
 NAMES = [f"s-{number:08x}" for number in range(1, 7)]
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(4 * PATIENCE):
-            await test
-
-    asyncio.run(bounded())
-
-
 class World:
     """A module under too much work, on a clock of its own; told to a capture as the driver tells it."""
 
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -9,13 +9,13 @@
 import socket
 import threading
 import time
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import pytest
 from helpers import settings as served
-from netkit import PATIENCE, Backend, Caller, proxy, start_program
+from netkit import PATIENCE, Backend, Caller, proxy, run, start_program
 
 from granitepoint import Tenant
 from granitepoint.net import features
@@ -26,14 +26,6 @@
 TENANTS = [{"name": "coastal-cabs", "quota_rps": 100.0, "portion": 0.5}]
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(4 * PATIENCE):
-            await test
-
-    asyncio.run(bounded())
-
-
 def figures(tmp_path: Path, **changes: Any) -> Figures:
     given = FiguresSettings(sink="none", file=str(tmp_path / "figures"), **changes)
     return Figures(given, served(tenants=[Tenant("coastal-cabs", 1.0)]))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,7 +6,6 @@
 import json
 import signal
 import tempfile
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +23,7 @@
     listing,
     proxy,
     response,
+    run,
     serve_ok,
     start_program,
     until_ready,
@@ -35,14 +35,6 @@
 from granitepoint.net.upstream import Exchange, Upstreams
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(4 * PATIENCE):
-            await test
-
-    asyncio.run(bounded())
-
-
 async def next_call(backend: Backend) -> Seen:
     async with asyncio.timeout(PATIENCE):
         return await backend.calls.get()
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -7,26 +7,17 @@
 import logging
 import ssl
 import time
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
 import pytest
 from certificates import Authority
-from netkit import PATIENCE, Backend, Caller, Proxy, free_port, proxy, response, start_program
+from netkit import PATIENCE, Backend, Caller, Proxy, free_port, proxy, response, run, start_program
 
 from granitepoint.net.config import ConfigError
 from granitepoint.net.tls import Tls, TlsSettings, subject
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(4 * PATIENCE):
-            await test
-
-    asyncio.run(bounded())
-
-
 class Port:
     """A TLS port's settings and its clients."""
 
