Add a rig: stand-in fleet, faults, open-loop load, judge and a demo

The package rig holds a node model by time, discovery by the protocol, timed faults from HCL scenarios, an open-loop load with HdrHistograms, ledgers and a judge; the package cli puts them under gladegw with click.

--- /dev/null
+++ b/granitepoint/cli/__init__.py
@@ -0,0 +1,64 @@
+"""The command line `gladegw`: each command is imported only when it is asked for."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+import click
+
+COMMANDS = {
+    "serve": ("granitepoint.cli.serving", "serve"),
+    "replay": ("granitepoint.cli.serving", "replay"),
+    "check-config": ("granitepoint.cli.serving", "check_config"),
+    "rig": ("granitepoint.cli.rig", "rig"),
+    "load": ("granitepoint.cli.load", "load"),
+    "experiment": ("granitepoint.cli.experiment", "experiment"),
+    "demo": ("granitepoint.cli.demo", "demo"),
+}
+NEEDED = {"msgspec", "hdrh", "numpy", "matplotlib", "rich", "click"}
+
+
+class Lazy(click.Group):
+    """A group whose commands lie in modules of their own."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in COMMANDS:
+            return None
+        module, name = COMMANDS[cmd_name]
+        command: click.Command = getattr(importlib.import_module(module), name)
+        return command
+
+
+@click.group(cls=Lazy, invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("-f", "file", metavar="FILE", help="Settings of the features, in HCL blocks.")
+@click.version_option(package_name="granitepoint", prog_name="gladegw")
+@click.pass_context
+def gladegw(ctx: click.Context, file: str | None) -> None:
+    """The proxy, as EDGE_CONFIG says, and its tools. Without a command it serves."""
+    ctx.obj = file
+    if ctx.invoked_subcommand is None:
+        from granitepoint.net.serve import run as serve
+
+        ctx.exit(serve(file))
+
+
+def run(arguments: list[str]) -> int:
+    """Exit codes: 0 all is well, 1 it ran and found something wrong, 2 it could not be asked that way."""
+    try:
+        code = gladegw.main(arguments, prog_name="gladegw", standalone_mode=False)
+    except click.ClickException as fault:
+        fault.show()
+        return 2
+    except (click.Abort, KeyboardInterrupt):
+        print("gladegw: stopped", file=sys.stderr)
+        return 130
+    except ModuleNotFoundError as fault:
+        if (fault.name or "").partition(".")[0] not in NEEDED:
+            raise
+        print(f"gladegw: this command needs {fault.name}: pip install 'granitepoint[rig]'", file=sys.stderr)
+        return 2
+    return code if isinstance(code, int) else 0
--- /dev/null
+++ b/granitepoint/cli/rig.py
@@ -0,0 +1,114 @@
+"""`rig`: a stand-in fleet to look at, scenarios to play, and the judge."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import click
+import msgspec
+
+from granitepoint.cli.common import mendable, run_async, show_json
+from granitepoint.rig import faults
+from granitepoint.rig import scenario as scenarios
+from granitepoint.rig.errors import RigError
+from granitepoint.rig.judge import RULES, Verdict, judge_folder
+from granitepoint.rig.play import Play, play
+
+file_argument = click.argument("file", type=click.Path(dir_okay=False))
+json_option = click.option("--json", "as_json", is_flag=True, help="Print one object.")
+
+
+@click.group()
+def rig() -> None:
+    """Stand-in nodes and discovery with real proxies before them, on loopback addresses."""
+
+
+def told(verdict: Verdict) -> str:
+    """The verdict as text, each broken rule with the first request's whole story."""
+    counted = f"{verdict.requests} requests, {verdict.tries} tries, {verdict.runs} at nodes"
+    worth = f"served worth {verdict.served_worth:.3f}"
+    if not verdict.breaches:
+        return f"rules kept: {counted}; {worth}"
+    lines = [f"RULES BROKEN: {', '.join(verdict.broken_rules)}: {counted}; {worth}"]
+    for rule in verdict.broken_rules:
+        found = [breach for breach in verdict.breaches if breach.rule == rule]
+        lines.append(f"{rule} ({len(found)} times): {RULES[rule]}")
+        for breach in found[:3]:
+            lines.append(f"  at {breach.at:.3f} s, {breach.subject}: {breach.reason}")
+            lines += [f"    {line}" for line in breach.story]
+    return "\n".join(lines)
+
+
+@rig.command("script")
+@file_argument
+@json_option
+@mendable
+def script(file: str, as_json: bool) -> None:
+    """Print what a scenario's faults will do, and when."""
+    steps = faults.script(scenarios.read(file))
+    if as_json:
+        show_json({"digest": faults.digest(steps), "steps": msgspec.to_builtins(steps)})
+        return
+    for step in steps:
+        until = f" until {step.until:.3f}" if step.until else ""
+        more = f" {step.manner}" if step.manner else ""
+        click.echo(f"{step.at:9.3f} {step.party:<8} {step.action:<18} {step.target}{more}{until}".rstrip())
+    click.echo(f"digest {faults.digest(steps)}")
+
+
+@rig.command("run")
+@file_argument
+@click.option("--dir", "folder", type=click.Path(file_okay=False), default="rig-run", show_default=True)
+@json_option
+@click.pass_context
+@mendable
+def run(ctx: click.Context, file: str, folder: str, as_json: bool) -> None:
+    """Play a scenario and judge it; the ledgers stay in the folder."""
+    loaded = run_async(play(scenarios.read(file), Path(folder)))
+    verdict = judge_folder(Path(folder))
+    if as_json:
+        figures = loaded.figures()
+        show_json({**figures, "served_worth": verdict.served_worth, "broken_rules": verdict.broken_rules})
+    else:
+        click.echo(told(verdict))
+        for reason in loaded.reasons:
+            click.echo(f"NOT VALID: {reason}")
+    ctx.exit(1 if verdict.breaches or loaded.reasons else 0)
+
+
+@rig.command("judge")
+@click.argument("folder", type=click.Path(file_okay=False))
+@json_option
+@click.pass_context
+@mendable
+def judge(ctx: click.Context, folder: str, as_json: bool) -> None:
+    """Judge a run's ledgers again. Exit code 1 where a rule was broken."""
+    try:
+        verdict = judge_folder(Path(folder))
+    except (OSError, ValueError) as fault:
+        raise RigError(f"{folder}: no run that can be judged: {fault}") from None
+    if as_json:
+        show_json({"broken_rules": verdict.broken_rules, "served_worth": verdict.served_worth,
+                   "breaches": msgspec.to_builtins(verdict.breaches)})  # fmt: skip
+    else:
+        click.echo(told(verdict))
+    ctx.exit(1 if verdict.breaches else 0)
+
+
+@rig.command("up")
+@file_argument
+@click.option("--dir", "folder", type=click.Path(file_okay=False), default="rig-run", show_default=True)
+@click.option("--for", "lasts", type=click.FloatRange(0, 3600), default=600.0, show_default=True)
+@mendable
+def up(file: str, folder: str, lasts: float) -> None:
+    """Start a scenario's fleet and proxies without load, tell their addresses, and wait."""
+
+    async def stand() -> None:
+        async with Play(scenarios.read(file), Path(folder)) as running:
+            for name, proxy in running.proxies.items():
+                click.echo(f"{name} http://127.0.0.1:{proxy.port}")
+            click.echo(f"up for {lasts:g} s; Ctrl-C ends it")
+            await asyncio.sleep(lasts)
+
+    run_async(stand())
--- a/granitepoint/net/hcl.py
+++ b/granitepoint/net/hcl.py
@@ -10,6 +10,7 @@
 import json
 import re
 import sys
+from dataclasses import dataclass
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any
@@ -38,8 +39,42 @@
     return MARKS.sub(line, text)
 
 
-def parse(text: str) -> Blocks:
-    """The blocks by name; raises ValueError in one line."""
+@dataclass(frozen=True, slots=True)
+class Block:
+    """One block of a file: `name "label" { ... }`; the label is empty where there is none."""
+
+    name: str
+    label: str
+    values: dict[str, Any]
+    line: int  # of its head; 0 where it was not found
+
+    def line_of(self, text: str, key: str) -> int:
+        """The line on which a setting of this block stands, or the block's own."""
+        lines = text.splitlines()
+        for number in range(max(1, self.line), len(lines) + 1):
+            code = lines[number - 1].split("#", 1)[0]
+            if re.search(rf"(?:^|[{{,\s]){re.escape(key)}\s*=", code):
+                return number
+            if number > self.line and code.lstrip().startswith("}"):
+                break
+        return self.line
+
+
+def _heads(text: str) -> list[int]:
+    """The lines on which blocks of the file begin, in their order."""
+    depth, found = 0, []
+    for mark in MARKS.finditer(text):
+        if mark[0] == "{":
+            if depth == 0:
+                found.append(text.count("\n", 0, mark.start()) + 1)
+            depth += 1
+        elif mark[0] == "}":
+            depth -= 1
+    return found
+
+
+def blocks_of(text: str) -> list[Block]:
+    """All blocks of a file, grouped by name; raises ValueError in one line."""
     import hcl2
     from hcl2.utils import SerializationOptions
     from lark.exceptions import LarkError
@@ -58,13 +93,41 @@
         line, column = getattr(fault, "line", 0), getattr(fault, "column", 0)
         place = f" at line {line}, column {column}" if line > 0 else ""
         raise ValueError(f"not HCL{place}") from None
+    named = re.compile(r"(\w+)[ \t]*(?:\"[^\"]*\")?[ \t]*\{?")
+    heads: dict[str, list[int]] = {}
+    lines = text.splitlines()
+    for head in _heads(text):
+        word = named.match(lines[head - 1].strip())
+        if word is not None:
+            heads.setdefault(word[1], []).append(head)
+    found = []
+    for name, items in raw.items():
+        if not (isinstance(items, list) and items and all(isinstance(item, dict) for item in items)):
+            raise ValueError(f"{name} is no block")
+        lines_of = heads.get(name, [])
+        for number, item in enumerate(items):
+            head = lines_of[number] if number < len(lines_of) else 0
+            label, values = "", item
+            if BLOCK not in item:
+                if len(item) != 1 or not isinstance(next(iter(item.values())), dict):
+                    raise ValueError(f"{name} is no block")
+                ((label, values),) = item.items()
+            if BLOCK not in values:
+                raise ValueError(f"{name} has more than one label")
+            own = {key: value for key, value in values.items() if key != BLOCK}
+            found.append(Block(name, label, own, head))
+    return found
+
+
+def parse(text: str) -> Blocks:
+    """The blocks of a file of features by name; raises ValueError in one line."""
     blocks: Blocks = {}
-    for name, found in raw.items():
-        if not (isinstance(found, list) and found and all(isinstance(b, dict) and BLOCK in b for b in found)):
-            raise ValueError(f"{name} is no block without a label")
-        if len(found) > 1:
-            raise ValueError(f"more than one block {name}")
-        blocks[name] = {key: value for key, value in found[0].items() if key != BLOCK}
+    for block in blocks_of(text):
+        if block.label:
+            raise ValueError(f"{block.name} is no block without a label")
+        if block.name in blocks:
+            raise ValueError(f"more than one block {block.name}")
+        blocks[block.name] = block.values
     return blocks
 
 
