Hold second copies back on sockets again; number a moot outcome as its send

Kept of the change: a send for a call that ended before the module heard of it is answered under its own attempt number, not 0, so that a later attempt of it is not counted as out for ever.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -35,14 +35,14 @@
 class OpenCall:
     """A taken request that is owed its answer."""
 
-    __slots__ = ("attempts", "deadline", "exchanges", "number", "open", "ran", "reply", "request", "timer")
+    __slots__ = ("attempts", "deadline", "exchange", "number", "open", "ran", "reply", "request", "timer")
 
     def __init__(self, number: int, request: Request, reply: Reply, deadline: float) -> None:
         self.number, self.request, self.reply, self.deadline = number, request, reply, deadline
         self.open = True
         self.attempts = 0
         self.ran = False  # some attempt may have run
-        self.exchanges: dict[int, Exchange] = {}  # attempts that are out, by number
+        self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -57,7 +57,7 @@
             self.settings.connect_timeout, self.settings.conn_idle, most_open=config.sockets * 2 // 5
         )
         self.calls: dict[int, OpenCall] = {}
-        self.out: dict[tuple[int, int], Exchange] = {}  # by call and attempt: also of calls that have ended
+        self.out: dict[int, Exchange] = {}  # attempts, by call: also of calls whose caller has left
         self.ended: dict[int, int] = {}  # attempts of calls that ended since the module was last asked
         self.ids: set[bytes] = set()  # of the calls in the table, and of attempts still out
         self.calls_taken = 0
@@ -207,11 +207,11 @@
             # This process stood still, and timers come before sockets: the answer may have come meanwhile.
             call.timer = self.loop.call_later(ONE_TURN, self._overdue, call, True)
             return
-        exchanges = list(call.exchanges.values())
-        harmless = not call.ran and not any(exchange.sent for exchange in exchanges)
+        harmless = not call.ran and (call.exchange is None or not call.exchange.sent)
+        exchange = call.exchange
         self._close(call, 503 if harmless else 504, (), b"out of time\n")
         self._push(api.Gone(call.number))
-        for exchange in exchanges:
+        if exchange is not None:
             exchange.end(api.Status.TIMEOUT if exchange.sent else api.Status.MOOT)
 
     def _close(self, call: OpenCall, code: int, headers: Any, body: bytes) -> None:
@@ -225,7 +225,7 @@
             self.capture.ended(call.number, code)
         self.calls.pop(call.number, None)
         self.ended[call.number] = call.attempts
-        if not call.exchanges:
+        if call.exchange is None:
             self.ids.discard(call.request.id)
         if call.timer is not None:
             call.timer.cancel()
@@ -236,7 +236,7 @@
     def _send(self, action: api.Send) -> None:
         call = self.calls.get(action.call)
         if call is None:
-            # It ended before the module had heard of it; every send is owed an outcome.
+            # It ended before the module had heard of it; every send is owed an outcome, under its number.
             number = self.ended.get(action.call, 0)
             self.ended[action.call] = number + 1
             self._push(api.Outcome(action.call, number, action.server, api.Status.MOOT, 0.0, True))
@@ -244,9 +244,8 @@
         number = call.attempts
         call.attempts += 1
         upstream = self.upstreams.by_id.get(action.server)
-        doubled = bool(call.exchanges) and not self.settings.may_duplicate
-        if upstream is None or not upstream.serving or doubled:
-            if doubled:
+        if upstream is None or not upstream.serving or call.exchange is not None:
+            if call.exchange is not None:
                 log.error("call %d: a second attempt while one is out", call.number)
             self._push(api.Outcome(call.number, number, action.server, api.Status.MOOT, 0.0, False))
             return
@@ -261,19 +260,18 @@
             self._attempt_ended(call, number, action.server, exchange)
 
         exchange = Exchange(upstream, head + request.body, max(0.0, timeout), may_start, done)
-        call.exchanges[number] = self.out[call.number, number] = exchange
+        call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
 
     def _attempt_ended(self, call: OpenCall, number: int, server: int, exchange: Exchange) -> None:
         status = exchange.status
         assert status is not None
-        call.exchanges.pop(number, None)
-        self.out.pop((call.number, number), None)
+        call.exchange = None
+        self.out.pop(call.number, None)
         if status not in api.NEVER_RAN:
             call.ran = True
         if not call.open:
-            if not call.exchanges:
-                self.ids.discard(call.request.id)
+            self.ids.discard(call.request.id)
         elif status is api.Status.OK:
             headers = [pair for pair in exchange.headers if pair[0] not in DROPPED]
             self._close(call, 200, headers, exchange.body)
@@ -300,7 +298,7 @@
             self._close(call, 502, (), b"failed\n")
 
     def _cancel(self, action: api.Cancel) -> None:
-        exchange = self.out.get((action.call, action.attempt))
+        exchange = self.out.get(action.call)
         if exchange is not None:
             exchange.cancel()
 
