Watch discovery from version 0 too, in place of asking for the whole list for ever

No version is now None, and 0 is watched like any other; the stand-in discovery tells the two apart as well.

Test: after a list of version 0 the next call is a watch from 0; it fails without the change.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -146,9 +146,9 @@
     for the next call of a watch that goes on."""
 
     def __init__(
-        self, at: Address, version: int, on_list: Callable[[Listing], None], on_failed: Callable[[], None]
+        self, at: Address, version: int | None, on_list: Callable[[Listing], None], on_failed: Callable[[], None]
     ) -> None:
-        self.at, self.version = at, version
+        self.at, self.version = at, version  # None: no list of this address is known; 0 is a version too
         self.on_list, self.on_failed = on_list, on_failed
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -163,7 +163,7 @@
     def move(self, at: Address) -> None:
         """Another address, whose versions may be others: the whole list is asked for there, at once."""
         self.stop()
-        self.at, self.version = at, 0
+        self.at, self.version = at, None
         self.watch(True)
 
     def fetch(self) -> None:
@@ -182,7 +182,7 @@
         try:
             while True:
                 begun = loop.time()
-                since = f"?from={self.version}&hold_ms={HOLD_MS}" if self.version else ""
+                since = "" if self.version is None else f"?from={self.version}&hold_ms={HOLD_MS}"
                 target = "/v1/servers" + since
                 if not await self._ask(channel, target, HOLD_MS / 1000 + PATIENCE):
                     return
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -84,7 +84,9 @@
             known = read_listing(config.known) if config.known else Listing(0, True, [])
         except ValueError as fault:
             raise ConfigError(f"bad configuration: known: {fault}") from None
-        self.discovery = Discovery(config.discovery, known.version, self._on_list, self._on_list_failed)
+        self.discovery = Discovery(
+            config.discovery, known.version if config.known else None, self._on_list, self._on_list_failed
+        )
         self.upstreams.apply(known)
         if capture is not None:
             self.balancer.witness = capture.step
--- a/granitepoint/rig/discovery.py
+++ b/granitepoint/rig/discovery.py
@@ -87,7 +87,7 @@
         self.parser: Any = httptools.HttpRequestParser(self)
         self.target = b""
         self.waiting = False
-        self.since = 0
+        self.since: int | None = None  # the version it has; None: it asks for the whole list
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -125,12 +125,12 @@
             self._write(404, b"{}")
             return
         try:
-            self.since = int(query.get("from", ["0"])[0])
+            self.since = int(query["from"][0]) if "from" in query else None
             hold = min(LONGEST_HOLD, int(query.get("hold_ms", ["0"])[0]) / 1000)
         except ValueError:
             self._write(400, b"{}")
             return
-        if self.since and self.since == self.owner.registry.version:
+        if self.since is not None and self.since == self.owner.registry.version:
             self.waiting = True
             self.timer = self.owner.loop.call_later(hold, self.wake)
         else:
@@ -148,7 +148,7 @@
     def answer(self) -> None:
         registry = self.owner.registry
         now = time.monotonic()
-        listing = registry.since(self.since) if self.since else registry.whole()
+        listing = registry.since(self.since) if self.since is not None else registry.whole()
         at = registry.turn(now, len(listing.endpoints))
         if at is None:
             self.owner.loop.call_later(registry.patience, self._write, 503, b"{}")
@@ -162,7 +162,7 @@
         if registry.down:
             self._write(503, b"{}")
             return
-        listing = registry.since(self.since) if self.since else registry.whole()
+        listing = registry.since(self.since) if self.since is not None else registry.whole()
         self._write(200, msgspec.json.encode(listing))
         self.door.asked_at = time.monotonic()
         self.door.tell(listing)
--- a/granitepoint/rig/registry.py
+++ b/granitepoint/rig/registry.py
@@ -38,7 +38,7 @@
 class Registry:
     def __init__(self, lines_per_s: float, call_lines: float, patience: float) -> None:
         self.lines_per_s, self.call_lines, self.patience = lines_per_s, call_lines, patience
-        self.version = 1
+        self.version = 0
         self.endpoints: dict[str, Endpoint] = {}
         self._gone: dict[str, Endpoint] = {}
         self._changed: dict[str, int] = {}  # by name: the version of its latest change, also of what is gone
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -286,6 +286,18 @@
     run(test())
 
 
+def test_a_list_of_version_0_is_watched_and_not_asked_for_again_and_again() -> None:
+    async def test() -> None:
+        discovery = await Discovery().start()
+        backend = Backend()
+        async with proxy({"s-1": backend}, discovery), asyncio.timeout(PATIENCE):
+            assert (await discovery.asked.get()).startswith("/v1/servers?from=1&hold_ms=")
+            discovery.put(0, endpoint("s-1", backend.address), snapshot=True)
+            assert (await discovery.asked.get()).startswith("/v1/servers?from=0&hold_ms=")
+
+    run(test())
+
+
 HEAD = b" HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0011223344556677\r\n"
 
 
