--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -146,7 +146,11 @@
     for the next call of a watch that goes on."""
 
     def __init__(
-        self, at: Address, version: int | None, on_list: Callable[[Listing], None], on_failed: Callable[[], None]
+        self,
+        at: Address,
+        version: int | None,
+        on_list: Callable[[Listing], None],
+        on_failed: Callable[[], None],
     ) -> None:
         self.at, self.version = at, version  # None: no list of this address is known; 0 is a version too
         self.on_list, self.on_failed = on_list, on_failed
