Serve routes and pools: one decision module a pool, tables swapped whole, captures that know

Change: the feature routes. Requests go by a compiled table to pools, each with a Balancer of its own over shared connections, one discovery and a divided quota; a new file is swapped in whole, unchanged pools keep their modules; a request whose pool drained before it was sent moves on; captures and replay know routes. The module takes a route's attempts and time (two fields of Arrival).

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -128,6 +128,7 @@
         "deadline",
         "ended",
         "id",
+        "most",
         "order",
         "out",
         "place",
@@ -144,6 +145,7 @@
         self.deadline, self.useful_until = deadline, useful
         self.order = (-worth, arrived, id)
         self.attempts: list[Attempt] = []
+        self.most = 0  # attempts that its route allows; 0: the settings'
         self.out = 0
         self.ended = self.streaming = self.queued = False
         self.place: int | None = None  # in the queue, when last held
@@ -177,7 +179,7 @@
             return False
         if not call.attempts:
             return True
-        if len(call.attempts) >= settings.max_attempts or (call.out and not settings.may_duplicate):
+        if self.spent(call) or (call.out and not settings.may_duplicate):
             return False
         first = self.may_have_run(call)
         if first is None or call.cls.effect is Effect.REPEATABLE:
@@ -186,6 +188,11 @@
             return False
         return self.same_group(call.cls, first.server, server) and now - first.sent_at < call.cls.window
 
+    def spent(self, call: Call) -> bool:
+        """Whether the settings, or the call's route, allow no further attempt."""
+        made = len(call.attempts)
+        return made >= self.settings.max_attempts or 0 < call.most <= made
+
     @staticmethod
     def same_group(cls: Kind, one: Server, other: Server) -> bool:
         if cls.group == "all":
@@ -202,7 +209,7 @@
 
     def may_repeat(self, call: Call) -> bool:
         """Whether some further attempt could still be allowed."""
-        if call.ended or call.streaming or len(call.attempts) >= self.settings.max_attempts:
+        if call.ended or call.streaming or self.spent(call):
             return False
         return call.cls.effect is not Effect.ONCE or self.may_have_run(call) is None
 
@@ -781,8 +788,13 @@
             self.quota_left[event.tenant] -= 1
         usual = 0.0 if cls.late_counts or self.settings.stage else cls.usual_budget(event.budget)
         call = self.call(event, cls, quota, usual)
+        call.most = event.attempts
         if self.witness is not None:
             self.arriving[call.id] = {"work": event.work, "quota": quota, "usual": usual}
+            if event.attempts:
+                self.arriving[call.id]["most"] = event.attempts
+            if event.limit < math.inf:
+                self.arriving[call.id]["limit"] = event.limit
         self.gate.calls[call.id] = call
         self.admission.history.append(call.worth)
         self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
@@ -798,8 +810,9 @@
         if quota is not None and quota < 1:
             worth *= self.settings.over_share_worth
         aim_left = self.aim_left(cls, event.budget, usual)
-        useful = event.budget if cls.late_counts else min(event.budget, aim_left)
-        return Call(event.call, cls, worth, now, now + event.budget, now + useful)
+        left = min(event.budget, event.limit)
+        useful = left if cls.late_counts else min(left, aim_left)
+        return Call(event.call, cls, worth, now, now + left, now + useful)
 
     def admits(self, call: Call) -> bool:
         return self.admission.admits(call.worth) and call.useful_until > self.now
--- a/granitepoint/net/capture.py
+++ b/granitepoint/net/capture.py
@@ -15,13 +15,14 @@
 from granitepoint.net.config import Config
 from granitepoint.net.discovery import Listed, Listing
 from granitepoint.net.reports import read_report
-from granitepoint.net.server import Request
+from granitepoint.net.request import Request
 from granitepoint.net.writer import Writer, to_descriptor
 
 log = logging.getLogger(__name__)
 
 VERSION = 1
 LONGEST = 200  # characters of a peer's text
+TEXT_SHARE = 4  # a table of routes is kept with its text up to this part of the ring
 STATUS = {ServerState.SERVING: "Ready", ServerState.DRAINING: "Terminating", ServerState.GONE: "Gone"}
 
 
@@ -54,6 +55,8 @@
     """A request's line, with the lists that it needs."""
 
     lists: dict[int, bytes]
+    generation = 0  # of the table of routes that it was routed by
+    table = b""
 
 
 class Files:
@@ -68,6 +71,7 @@
         self.path: Path | None = None
         self.size = 0
         self.written: set[int] = set()  # lists that the file holds
+        self.generation = 0  # of the table of routes that it holds last
         self.failing = False
 
     def _present(self) -> list[Path]:
@@ -87,6 +91,7 @@
             old.unlink(missing_ok=True)
         self.size = 0
         self.written = set()
+        self.generation = 0
 
     def write(self, lines: Sequence[bytes]) -> int:
         try:
@@ -98,6 +103,9 @@
                     self._next()
                     part = []
                     self._add(part, self.start)
+                if isinstance(record, Record) and record.table and record.generation != self.generation:
+                    self.generation = record.generation
+                    self._add(part, record.table)
                 for serial, text in needed.items():
                     if serial not in self.written:
                         self.written.add(serial)
@@ -128,12 +136,13 @@
 class Open:
     """A request that has no answer yet, with the decisions on it so far."""
 
-    __slots__ = ("arrival", "lists", "request", "size", "steps")
+    __slots__ = ("arrival", "lists", "pool", "request", "size", "steps")
 
     def __init__(self, request: Request, arrival: Arrival) -> None:
         self.request, self.arrival = request, arrival
         self.steps: list[tuple[bytes, bytes]] = []  # of a pick, what can stand on the record; the rest
         self.lists: set[int] = set()
+        self.pool = ""  # that took it, where routes are on
         self.size = 0
 
 
@@ -151,6 +160,8 @@
         self.index = self.serial = 0
         self.lists: dict[int, bytes] = {}  # the latest, and those that a record or an open request needs
         self.uses: dict[int, int] = {}
+        self.tables: dict[int, bytes] = {}  # of routes, by generation: the latest, and those that are needed
+        self.generation = 0
         self.reports: dict[int, tuple[str, float]] = {}  # as received, with the figure that the module takes
         self.open: dict[int, Open] = {}
         self.records: deque[Record] = deque()
@@ -195,8 +206,19 @@
         if figure is not None and server in self.names:
             self.reports[server] = text.decode("ascii").strip()[:LONGEST], figure
 
-    def taken(self, request: Request, arrival: Arrival) -> None:
-        self.open[arrival.call] = Open(request, arrival)
+    def taken(self, request: Request, arrival: Arrival, pool: str = "") -> None:
+        opened = self.open[arrival.call] = Open(request, arrival)
+        opened.pool = pool
+
+    def routes(self, generation: int, digest: str, file: str, text: str) -> None:
+        """A table that is in use from now on, with its text where there is room for it."""
+        kept = text if len(text) <= self.most // TEXT_SHARE else None
+        line = self._line("routes", generation=generation, digest=digest, file=file, text=kept)
+        before, self.tables[generation] = self.generation, line
+        self.generation = generation
+        self.size += len(line)
+        self._forget_table(before)
+        self._shrink()
 
     def step(self, number: int, step: str, used: dict[str, Any], said: Any) -> None:
         """The module's word on a call: what it used, and what it decided."""
@@ -261,6 +283,8 @@
             "tenant": request.tenant[:LONGEST],
             "budget_ms": int(budget_ms) if budget_ms == int(budget_ms) else budget_ms,
         }  # fmt: skip
+        if request.routed is not None:
+            head["route"] = request.routed.told(opened.pool)
         unpicked = b'"index":%d,"list":%d,"inflight":{},"load":{},"server":null' % (self.index, self.serial)
         steps = [
             b"{" + top + b"," + rest + b"}" if top and place != last else b"{" + rest + b"}"
@@ -272,6 +296,9 @@
             + b',"steps":[' + b",".join(steps) + b"]}\n"
         )  # fmt: skip
         record.lists = {serial: self.lists[serial] for serial in sorted(opened.lists)}
+        if request.routed is not None:
+            record.generation = request.routed.generation
+            record.table = self.tables.get(record.generation, b"")
         self.size += len(record) - opened.size
         self.records.append(record)
         if self.filer is not None:
@@ -279,6 +306,17 @@
         self._shrink()
 
     # the ring
+    def _forget_table(self, generation: int) -> None:
+        """One that is neither in use nor needed by a record goes."""
+        if generation and generation != self.generation:
+            needed = any(record.generation == generation for record in self.records)
+            needed = needed or any(
+                opened.request.routed is not None and opened.request.routed.generation == generation
+                for opened in self.open.values()
+            )
+            if not needed:
+                self.size -= len(self.tables.pop(generation, b""))
+
     def _use(self, opened: Open) -> None:
         if self.serial not in opened.lists and self.serial in self.lists:
             opened.lists.add(self.serial)
@@ -301,6 +339,8 @@
                 record = self.records.popleft()
                 self.size -= len(record)
                 self._unuse(list(record.lists))
+                if record.generation != self.generation:
+                    self._forget_table(record.generation)
             else:
                 opened = self.open.pop(next(iter(self.open)))
                 self.size -= opened.size
@@ -311,7 +351,16 @@
         if self.dumper.size or self.dumper.writing:
             log.warning("capture: the last dump is still being written")
             return
-        self.dumper.put([self.start, *self.lists.values(), *self.records])
+        lines = [self.start, *self.lists.values()]
+        if len(self.tables) == 1:
+            lines += self.tables.values()
+        said = 0
+        for record in self.records:
+            if len(self.tables) > 1 and record.table and record.generation != said:
+                said = record.generation
+                lines.append(record.table)
+            lines.append(record)
+        self.dumper.put(lines)
 
     def close(self, patience: float) -> None:
         for writer in (self.dumper, self.filer):
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -9,8 +9,9 @@
 import asyncio
 import logging
 import time
+import zlib
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from granitepoint import interface as api
 from granitepoint.logic import Balancer
@@ -18,7 +19,8 @@
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
 from granitepoint.net.reports import read_report
-from granitepoint.net.server import Reply, Request
+from granitepoint.net.request import Request
+from granitepoint.net.server import Reply
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
 
 log = logging.getLogger(__name__)
@@ -35,9 +37,14 @@
 class OpenCall:
     """A taken request that is owed its answer."""
 
-    __slots__ = ("attempts", "deadline", "exchange", "number", "open", "ran", "reply", "request", "timer")
+    __slots__ = (
+        "attempts", "deadline", "driver", "exchange", "number", "open", "ran", "reply", "request", "timer",
+    )  # fmt: skip
 
-    def __init__(self, number: int, request: Request, reply: Reply, deadline: float) -> None:
+    def __init__(
+        self, driver: Driver, number: int, request: Request, reply: Reply, deadline: float
+    ) -> None:
+        self.driver = driver
         self.number, self.request, self.reply, self.deadline = number, request, reply, deadline
         self.open = True
         self.attempts = 0
@@ -46,21 +53,46 @@
         self.timer: asyncio.TimerHandle | None = None
 
 
+class Desk:
+    """What the pools of one proxy share: connections to backends, the names of open calls, their numbers."""
+
+    def __init__(self, config: Config) -> None:
+        settings = config.settings
+        most_open = config.sockets * 2 // 5
+        self.upstreams = Upstreams(settings.connect_timeout, settings.conn_idle, most_open)
+        self.ids: set[bytes] = set()  # of the calls in the tables, and of attempts still out
+        self.calls_taken = 0
+
+
+class Feed(Protocol):
+    """Where a pool's lists come from, when not from a discovery of its own."""
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+
 class Driver:
-    def __init__(self, config: Config, capture: Capture | None = None) -> None:
-        self.capture = capture
+    def __init__(
+        self,
+        config: Config,
+        capture: Capture | None = None,
+        desk: Desk | None = None,
+        feed: Feed | None = None,
+        pool: str = "",
+    ) -> None:
+        self.capture, self.pool = capture, pool
         self.loop = asyncio.get_running_loop()
         self.config, self.settings = config, config.settings
         self.effects = {cls.name: cls.effect for cls in self.settings.classes}
-        self.balancer = Balancer(self.settings, config.seed)
-        self.upstreams = Upstreams(
-            self.settings.connect_timeout, self.settings.conn_idle, most_open=config.sockets * 2 // 5
-        )
+        self.balancer = Balancer(self.settings, config.seed ^ zlib.crc32(pool.encode()))
+        self.desk = desk or Desk(config)
+        self.upstreams, self.ids = self.desk.upstreams, self.desk.ids
+        self.retired = False  # a newer one has taken its place: it rests when nothing of it is open
+        self.resting: list[int] = []  # timers that came meanwhile
         self.calls: dict[int, OpenCall] = {}
         self.out: dict[int, Exchange] = {}  # attempts, by call: also of calls whose caller has left
         self.ended: dict[int, int] = {}  # attempts of calls that ended since the module was last asked
-        self.ids: set[bytes] = set()  # of the calls in the table, and of attempts still out
-        self.calls_taken = 0
         self.probes = 0
         self.events: list[api.Event] = []
         self.flush_at: asyncio.Handle | None = None
@@ -75,23 +107,32 @@
             api.Probe: self._probe,
             api.SetTimer: self._set_timer,
             api.CloseIdle: self._close_idle,
-            api.Watch: lambda action: self.discovery.watch(action.on),
-            api.Fetch: lambda action: self.discovery.fetch(),
+            api.Watch: lambda action: self.feed.watch(action.on),
+            api.Fetch: lambda action: self.feed.fetch(),
             api.Log: lambda action: log.info("module: %s", action.text),
             api.Tell: lambda action: None,  # there is no talk between proxies
         }
-        try:
-            known = read_listing(config.known) if config.known else Listing(0, True, [])
-        except ValueError as fault:
-            raise ConfigError(f"bad configuration: known: {fault}") from None
-        self.discovery = Discovery(
-            config.discovery, known.version if config.known else None, self._on_list, self._on_list_failed
-        )
-        self.upstreams.apply(known)
+        self.feed: Feed = feed or self._own_feed()
         if capture is not None:
             self.balancer.witness = capture.step
-            capture.listed(known)
+
+    def _own_feed(self) -> Discovery:
+        config, known = self.config, self.known(self.config)
+        version = known.version if config.known else None
+        self.discovery = Discovery(config.discovery, version, self._on_list, self.list_failed)
+        self.upstreams.apply(known)
+        if self.capture is not None:
+            self.capture.listed(known)
         self.events.append(self._server_list(known, api.ListKind.SAVED))
+        return self.discovery
+
+    @staticmethod
+    def known(config: Config) -> Listing:
+        """The list that the configuration holds; raises ConfigError."""
+        try:
+            return read_listing(config.known) if config.known else Listing(0, True, [])
+        except ValueError as fault:
+            raise ConfigError(f"bad configuration: known: {fault}") from None
 
     def start(self) -> None:
         self._flush()
@@ -157,42 +198,55 @@
         kind = api.ListKind.FULL if listing.whole else api.ListKind.INCREMENTAL
         self._push(self._server_list(listing, kind))
 
-    def _on_list_failed(self) -> None:
+    def list_failed(self) -> None:
         self._push(api.ServerList(api.ListKind.FAILED))
 
+    def listed(self, entries: list[api.ServerEntry], version: int, kind: api.ListKind) -> None:
+        """The members of this pool, where someone else asks discovery."""
+        self._push(api.ServerList(kind, entries, version))
+
     # the callers' side
     def ready(self) -> bool:
         return self.upstreams.ready
 
     def opened(self, request: Request, reply: Reply) -> OpenCall | None:
-        if request.id in self.ids:
+        if request.id and request.id in self.ids:
             # An earlier one of this name is still out, and a second copy could run beside it.
             reply.answer(409, (), b"this X-Call-Id is in use\n")
             return None
         if self.settings.most_held and len(self.calls) >= self.settings.most_held:
             reply.answer(503, ((b"retry-after", b"1"),), b"too many calls\n")
             return None
-        self.calls_taken += 1
-        number = self.calls_taken
+        while self.resting:
+            self._push(api.Timer(self.resting.pop()))
+        self.desk.calls_taken += 1
+        number = self.desk.calls_taken
         # What the budget has lost before the request was read shows only as this loop's lag.
         margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
-        deadline = request.came + request.budget - margin
-        call = OpenCall(number, request, reply, deadline)
+        routed = request.routed
+        limit = routed.timeout if routed is not None and routed.timeout else request.budget
+        deadline = request.came + min(request.budget, limit) - margin
+        call = OpenCall(self, number, request, reply, deadline)
         self.calls[number] = call
-        self.ids.add(request.id)
+        if request.id:  # a mirrored copy has none
+            self.ids.add(request.id)
         now = time.monotonic()
         call.timer = self.loop.call_later(max(0.0, deadline - now), self._overdue, call)
         arrival = api.Arrival(
             call=number,
             cls=request.cls,
-            budget=deadline - MODULE_MARGIN - now,
+            budget=request.came + request.budget - margin - MODULE_MARGIN - now,
             tenant=request.tenant,
             work=request.work,
             resent=request.resent,
             key=request.subject,
         )
-        if self.capture is not None:
-            self.capture.taken(request, arrival)
+        if routed is not None:
+            arrival.attempts = routed.attempts
+            if limit < request.budget:
+                arrival.limit = deadline - MODULE_MARGIN - now
+        if self.capture is not None and request.id:
+            self.capture.taken(request, arrival, self.pool)
         self._push(arrival)
         return call
 
@@ -333,7 +387,10 @@
 
     def _timer(self, due: float, token: int) -> None:
         self.lag = max(self.lag * LAG_FADE, time.monotonic() - due)
-        self._push(api.Timer(token))
+        if self.retired and not (self.calls or self.out):
+            self.resting.append(token)
+        else:
+            self._push(api.Timer(token))
 
     def _close_idle(self, action: api.CloseIdle) -> None:
         upstream = self.upstreams.by_id.get(action.server)
--- a/granitepoint/net/features.py
+++ b/granitepoint/net/features.py
@@ -16,12 +16,30 @@
 TEMPLATES = ("${", "%{")  # what is computed; here each value is given as it is
 
 
+@dataclass(frozen=True, slots=True)
+class RoutesSettings:
+    """Here and not beside the feature's code, which is imported only where it is on."""
+
+    file: str = ""
+    watch_ms: int = 1000  # between looks at the file; 0: it is read again on SIGHUP only
+    mirrors: int = 64  # open mirrored copies at most
+
+    def __post_init__(self) -> None:
+        if not self.file:
+            raise ValueError("file must name a file of routes")
+        if not (self.watch_ms == 0 or 50 <= self.watch_ms <= 3_600_000):
+            raise ValueError(f"watch_ms must be 0 or 50 to 3600000, not {self.watch_ms}")
+        if not 1 <= self.mirrors <= 10_000:
+            raise ValueError(f"mirrors must be 1 to 10000, not {self.mirrors}")
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     figures: FiguresSettings | None = None
     tls: TlsSettings | None = None
     capture: CaptureSettings | None = None
     addresses: AddressSettings | None = None
+    routes: RoutesSettings | None = None
 
     def __bool__(self) -> bool:
         return any(getattr(self, field.name) is not None for field in dataclasses.fields(self))
@@ -29,6 +47,7 @@
 
 BLOCKS: dict[str, Any] = {
     "figures": FiguresSettings, "tls": TlsSettings, "capture": CaptureSettings, "addresses": AddressSettings,
+    "routes": RoutesSettings,
 }  # fmt: skip
 
 
--- /dev/null
+++ b/granitepoint/net/request.py
@@ -0,0 +1,154 @@
+"""A request as it is taken: read from its parts by the platform's rules, and routed where routes are on."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
+
+from granitepoint.interface import Effect
+from granitepoint.net.upstream import HOP_BY_HOP
+
+if TYPE_CHECKING:
+    from granitepoint.routing.model import Ask, Route
+
+BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
+REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
+
+LONGEST = 200  # characters of a header that is told of
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class Routed:
+    """What a route makes of a request."""
+
+    cls: str  # empty: the first part of the path
+    target: bytes
+    headers: Headers
+    timeout: float  # s; 0: the caller's
+    attempts: int  # 0: the settings'
+    route: Route
+    pool: str  # the first choice
+    ask: Ask
+    generation: int  # of the table
+    looked_at: tuple[str, ...]  # headers that some route asks for
+    table: Any = None  # of pools, that goes on serving it when a newer one is in use
+
+    def told(self, pool: str) -> dict[str, Any]:
+        """What a record needs so that the table can be asked again."""
+        ask = self.ask
+        return {
+            "generation": self.generation, "name": str(self.route), "pool": pool, "first": self.pool,
+            "method": ask.method, "target": ask.path + (f"?{ask.query_text}" if ask.query_text else ""),
+            "host": ask.host, "source": ask.source, "budget_ms": ask.budget_ms,
+            "headers": {name: ask.headers.get(name, "")[:LONGEST] for name in self.looked_at
+                        if name in ask.headers},
+        }  # fmt: skip
+
+
+class Router(Protocol):
+    """Raises BadRequest for what a route answers by itself, and for what no route takes."""
+
+    def __call__(
+        self, method: bytes, target: bytes, headers: Headers, budget: float, source: Callable[[], str]
+    ) -> Routed: ...
+
+
+@dataclass(slots=True)
+class Request:
+    """A request that has come whole and well formed."""
+
+    id: bytes
+    cls: str
+    budget: float  # s, from when the client sent it
+    tenant: str
+    subject: str
+    work: float
+    resent: bool
+    head: bytes  # what goes on to a backend, but for the last headers
+    body: bytes
+    came: float  # monotonic
+    routed: Routed | None = None  # where routes are on
+
+
+class BadRequest(Exception):
+    """An answer that the proxy gives by itself: the request can't be taken, or a route answers it."""
+
+    def __init__(self, code: int, text: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
+        super().__init__(text)
+        self.code, self.headers = code, headers
+
+
+def _one(found: list[tuple[bytes, bytes]], name: bytes) -> bytes:
+    values = [value for key, value in found if key == name]
+    if len(values) > 1:
+        raise BadRequest(400, f"more than one {name.decode()}")
+    return values[0] if values else b""
+
+
+def class_of(target: bytes) -> str:
+    return target[1:].split(b"?", 1)[0].split(b"/", 1)[0].decode("latin-1")
+
+
+def read_request(
+    method: bytes,
+    target: bytes,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+    came: float,
+    effects: Mapping[str, Effect],
+    router: Router | None = None,
+    source: Callable[[], str] = str,
+) -> Request:
+    """Raises BadRequest; the rules that need a second look stand here, not in the parser."""
+    if not target.startswith(b"/"):
+        raise BadRequest(400, "the target is not a path")
+    budget = BUDGET.fullmatch(_one(headers, b"x-budget"))
+    seconds = float(budget[1]) / (1e3 if budget[2] == b"m" else 1e6) if budget is not None else 0.0
+    cls = class_of(target)
+    routed: Routed | None = None
+    if router is not None:
+        routed = router(method, target, headers, seconds, source)
+        cls, target, headers = routed.cls or cls, routed.target, routed.headers
+    effect = effects.get(cls)
+    if effect is None:
+        raise BadRequest(404, "no such class")
+    id, key = _one(headers, b"x-call-id"), _one(headers, b"idempotency-key")
+    if not id:
+        raise BadRequest(400, "X-Call-Id is missing")
+    if budget is None:
+        raise BadRequest(400, "X-Budget is missing or malformed")
+    if method != (b"GET" if effect is Effect.REPEATABLE else b"POST"):
+        raise BadRequest(400, "wrong method for the class")
+    if (effect is Effect.BY_KEY) != bool(key):
+        raise BadRequest(400, "Idempotency-Key goes with a keyed class, and only with one")
+    if body and method == b"GET":
+        raise BadRequest(400, "a GET has no body")
+    try:
+        work = max(0.0, float(_one(headers, b"x-call-cost") or 0)) / 1e6
+    except ValueError:
+        raise BadRequest(400, "X-Call-Cost is malformed") from None
+    lines = [method + b" " + target + b" HTTP/1.1"]
+    lines += [name + b": " + value for name, value in headers if name not in REPLACED]
+    if method == b"POST":
+        lines.append(b"content-length: %d" % len(body))
+    subject = ""
+    for part in _one(headers, b"cookie").split(b";"):
+        name, _, value = part.strip().partition(b"=")
+        if name == b"sid":
+            subject = value.decode("latin-1")
+    return Request(
+        id=id,
+        cls=cls,
+        budget=seconds,
+        tenant=_one(headers, b"x-caller").decode("latin-1"),
+        subject=subject,
+        work=work if work - work == 0.0 else 0.0,
+        resent=_one(headers, b"x-again") == b"1",
+        head=b"\r\n".join(lines) + b"\r\n",
+        body=body,
+        came=came,
+        routed=routed,
+    )
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -17,12 +18,15 @@
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError, discovery_now, load
 from granitepoint.net.driver import Driver
-from granitepoint.net.features import Features
+from granitepoint.net.features import Features, RoutesSettings
 from granitepoint.net.figures import Figures
 from granitepoint.net.server import Server, Watcher
 from granitepoint.net.tls import Tls
 from granitepoint.net.writer import LOG_BYTES, LogHandler, Writer, to_descriptor
 
+if TYPE_CHECKING:
+    from granitepoint.net.routes import Pools
+
 STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
 LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
 DRAIN_STEP = 0.01  # s between looks whether all is answered
@@ -33,15 +37,23 @@
 log = logging.getLogger(__name__)
 
 
-def reconfigure(driver: Driver) -> None:
+def reconfigure(driver: Driver | Pools, running: list[asyncio.Task[None]]) -> None:
     """A file that can't be used changes nothing: the proxy goes on as it is."""
     try:
         driver.discovery.move(discovery_now(os.environ))
     except ConfigError as fault:
         log.error("%s", fault)
+    if not isinstance(driver, Driver):
+        running.append(asyncio.get_running_loop().create_task(driver.reload()))
+
+
+def pools(settings: RoutesSettings, config: Config, capture: Capture | None) -> Pools:
+    from granitepoint.net.routes import Pools
 
+    return Pools(settings, config, capture)
 
-async def drain(server: Server, driver: Driver) -> None:
+
+async def drain(server: Server, driver: Driver | Pools) -> None:
     """Callers go on using a connection that stays open, and lose what is unanswered at the end: so each
     answer closes its own, then the rest close, and the process ends when nothing is owed any more."""
     await asyncio.sleep(STILL_COMING)
@@ -69,8 +81,11 @@
     capture = Capture(features.capture, config) if features.capture is not None else None
     if capture is not None:
         loop.add_signal_handler(signal.SIGUSR2, capture.dump)
-    driver = Driver(config, capture)
-    loop.add_signal_handler(signal.SIGHUP, reconfigure, driver)
+    running: list[asyncio.Task[None]] = []
+    driver: Driver | Pools = Driver(config, capture) if features.routes is None else pools(
+        features.routes, config, capture
+    )
+    loop.add_signal_handler(signal.SIGHUP, reconfigure, driver, running)
     server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
     watchers: list[Watcher] = []
     figures = Figures(features.figures, config.settings) if features.figures is not None else None
@@ -84,7 +99,11 @@
     server.watchers = tuple(watchers)
     driver.start()
     await server.listen(*config.listen)
-    running = [loop.create_task(figures.run())] if figures is not None else []
+    if figures is not None:
+        running.append(loop.create_task(figures.run()))
+    if not isinstance(driver, Driver):
+        server.router = driver.route
+        running.append(loop.create_task(driver.run()))
     if tls is not None:
         server.listen_tls(config.listen[0], tls.settings.port or 0, tls)
         running.append(loop.create_task(tls.run()))
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import logging
-import re
 import socket
 import ssl
 import time
@@ -17,8 +16,8 @@
 import httptools
 
 from granitepoint.interface import Effect
+from granitepoint.net.request import BadRequest, Request, Router, class_of, read_request
 from granitepoint.net.tls import reason, subject
-from granitepoint.net.upstream import HOP_BY_HOP
 
 log = logging.getLogger(__name__)
 
@@ -33,32 +32,15 @@
 ENTERING_SHARE = 0.1  # of the connections, that more may be at their handshake
 ACCEPT_PAUSE = 0.05  # s without accepting once it failed, for lack of descriptors most of all
 GOODBYE = 1.0  # s for the end of a TLS connection to be answered
-BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
-REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found", 409: b"Conflict",
+    200: b"OK", 301: b"Moved Permanently", 302: b"Found", 303: b"See Other", 307: b"Temporary Redirect",
+    308: b"Permanent Redirect", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found", 409: b"Conflict",
     413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
 
 
-@dataclass(slots=True)
-class Request:
-    """A request that has come whole and well formed."""
-
-    id: bytes
-    cls: str
-    budget: float  # s, from when the client sent it
-    tenant: str
-    subject: str
-    work: float
-    resent: bool
-    head: bytes  # what goes on to a backend, but for the last headers
-    body: bytes
-    came: float  # monotonic
-
-
 @dataclass(slots=True)
 class Peer:
     """Who is at the other end of a connection, where a feature has to know."""
@@ -125,77 +107,6 @@
     def ready(self) -> bool: ...
 
 
-class BadRequest(Exception):
-    def __init__(self, code: int, text: str) -> None:
-        super().__init__(text)
-        self.code = code
-
-
-def _one(found: list[tuple[bytes, bytes]], name: bytes) -> bytes:
-    values = [value for key, value in found if key == name]
-    if len(values) > 1:
-        raise BadRequest(400, f"more than one {name.decode()}")
-    return values[0] if values else b""
-
-
-def class_of(target: bytes) -> str:
-    return target[1:].split(b"?", 1)[0].split(b"/", 1)[0].decode("latin-1")
-
-
-def read_request(
-    method: bytes,
-    target: bytes,
-    headers: list[tuple[bytes, bytes]],
-    body: bytes,
-    came: float,
-    effects: Mapping[str, Effect],
-) -> Request:
-    """Raises BadRequest; the rules that need a second look stand here, not in the parser."""
-    if not target.startswith(b"/"):
-        raise BadRequest(400, "the target is not a path")
-    cls = class_of(target)
-    effect = effects.get(cls)
-    if effect is None:
-        raise BadRequest(404, "no such class")
-    id, key = _one(headers, b"x-call-id"), _one(headers, b"idempotency-key")
-    if not id:
-        raise BadRequest(400, "X-Call-Id is missing")
-    budget = BUDGET.fullmatch(_one(headers, b"x-budget"))
-    if budget is None:
-        raise BadRequest(400, "X-Budget is missing or malformed")
-    if method != (b"GET" if effect is Effect.REPEATABLE else b"POST"):
-        raise BadRequest(400, "wrong method for the class")
-    if (effect is Effect.BY_KEY) != bool(key):
-        raise BadRequest(400, "Idempotency-Key goes with a keyed class, and only with one")
-    if body and method == b"GET":
-        raise BadRequest(400, "a GET has no body")
-    try:
-        work = max(0.0, float(_one(headers, b"x-call-cost") or 0)) / 1e6
-    except ValueError:
-        raise BadRequest(400, "X-Call-Cost is malformed") from None
-    lines = [method + b" " + target + b" HTTP/1.1"]
-    lines += [name + b": " + value for name, value in headers if name not in REPLACED]
-    if method == b"POST":
-        lines.append(b"content-length: %d" % len(body))
-    subject = ""
-    for part in _one(headers, b"cookie").split(b";"):
-        name, _, value = part.strip().partition(b"=")
-        if name == b"sid":
-            subject = value.decode("latin-1")
-    return Request(
-        id=id,
-        cls=cls,
-        budget=float(budget[1]) / (1e3 if budget[2] == b"m" else 1e6),
-        tenant=_one(headers, b"x-caller").decode("latin-1"),
-        subject=subject,
-        work=work if work - work == 0.0 else 0.0,
-        resent=_one(headers, b"x-again") == b"1",
-        head=b"\r\n".join(lines) + b"\r\n",
-        body=body,
-        came=came,
-    )
-
-
 class ClientConnection(asyncio.Protocol):
     """One caller's connection: requests one after another, each with exactly one answer."""
 
@@ -323,14 +234,22 @@
             body = b"".join(self.body)
             try:
                 request = read_request(
-                    method, self.target, self.headers, body, time.monotonic(), self.server.effects
-                )
+                    method, self.target, self.headers, body, time.monotonic(), self.server.effects,
+                    self.server.router, self._source,
+                )  # fmt: skip
             except BadRequest as bad:
                 request = bad
         asked = self._asked() if request is not None else None
         self.headers, self.body = [], []
         self.waiting.append((request, keep_alive, asked))
 
+    def _source(self) -> str:
+        """The client's address, for routes that ask for it."""
+        if self.peer is not None:
+            return self.peer.client.rpartition(":")[0].strip("[]")
+        name = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return str(name[0]) if name else ""
+
     def _asked(self) -> Asked | None:
         if not self.server.watchers:
             return None
@@ -364,7 +283,7 @@
                 ready = self.server.handler.ready()
                 self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
             elif isinstance(request, BadRequest):
-                self.answer(request.code, NO_HEADERS, f"{request}\n".encode())
+                self.answer(request.code, request.headers, f"{request}\n".encode())
             elif self.server.crowded():
                 # Never sent, so a refusal is harmless.
                 self.keep_alive = False
@@ -441,6 +360,7 @@
         self.entering: dict[asyncio.Task[None], None] = {}  # the oldest first
         self.watchers: tuple[Watcher, ...] = ()
         self.door: Door | None = None
+        self.router: Router | None = None
 
     def crowded(self) -> bool:
         return len(self.connections) > self.most_open
--- a/granitepoint/replay.py
+++ b/granitepoint/replay.py
@@ -117,7 +117,9 @@
         if self.settings.stage == 0 and record["tenant"] in balancer.quota:
             quota = balancer.quota[record["tenant"]] if step.get("quota") is None else step["quota"]
         event = Arrival(1, record["class"], budget, record["tenant"], step.get("work", 0.0))
+        event.limit = step.get("limit", math.inf)
         self.call = balancer.call(event, self.cls, quota, step.get("usual", 0.0))
+        self.call.most = step.get("most", 0)
         cut = step.get("cut")
         self.admission.cut, self.admission.tie = -math.inf if cut is None else cut, step.get("tie", 0.0)
         self.admission.told = step.get("draw")
@@ -181,10 +183,47 @@
         return server
 
 
+def _table(record: dict[str, Any]) -> Any:
+    """The recorded table of routes."""
+    if record["text"] is None:
+        return None
+    from granitepoint.routing.findings import RoutingError
+    from granitepoint.routing.matcher import Table
+    from granitepoint.routing.read import read_text
+
+    try:
+        return Table(read_text(record["text"], record["file"], ("expect",)))
+    except RoutingError as fault:
+        raise Unusable(f"the recorded routes can't be used: {fault}") from None
+
+
+def _rerouted(tables: dict[int, Any], record: dict[str, Any]) -> Difference | None:
+    """Where the recorded table sends the request now, if not where it went then."""
+    route = record.get("route")
+    if route is None:
+        return None
+    if route["generation"] not in tables:
+        raise Unusable(f"generation {route['generation']} of the routes is missing")
+    table = tables[route["generation"]]
+    if table is None:
+        return None
+    from granitepoint.routing.model import Ask
+    from granitepoint.routing.split import first_pool
+
+    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in route["headers"].items()]
+    ask = Ask(route["method"], route["target"], route["host"], headers, route["budget_ms"], record["tenant"],
+              route["source"], record["id"])  # fmt: skip
+    entry = table.find(ask)
+    now = ("none", "none") if entry is None else (str(entry.route), first_pool(entry.route, ask))
+    then = (str(route["name"]), str(route["first"]))
+    return None if now == then else (f"route:{then[0]}:{then[1]}", f"route:{now[0]}:{now[1]}")
+
+
 def differences(path: str) -> Iterator[tuple[str, Difference]]:
     """The requests on which the module says something else now; raises Unusable."""
     settings: Settings | None = None
     lists: dict[int, dict[str, Any]] = {}
+    tables: dict[int, Any] = {}  # of routes, by generation; None: its text was not recorded
     number = 0
     try:
         with Path(path).open("rb") as file:
@@ -197,13 +236,15 @@
                     raise Unusable(f"version {record.get('v')!r} is not known, only {VERSION}")
                 kind = record.get("kind")
                 if kind == "start":
-                    settings, lists = read_settings(flatten(record["settings"])), {}
+                    settings, lists, tables = read_settings(flatten(record["settings"])), {}, {}
                 elif settings is None:
                     raise Unusable("there is no start record before it")
                 elif kind == "list":
                     lists[record["list"]] = record
+                elif kind == "routes":
+                    tables[record["generation"]] = _table(record)
                 elif kind == "req":
-                    found = Again(settings, lists, record).difference()
+                    found = _rerouted(tables, record) or Again(settings, lists, record).difference()
                     if found is not None:
                         yield str(record["id"]), found
                 else:
--- a/granitepoint/routing/checks.py
+++ b/granitepoint/routing/checks.py
@@ -14,10 +14,11 @@
 
 def check_table(table: Table) -> list[Finding]:
     """Ties, and routes that nothing reaches."""
-    return [*_ties(table), *_unreached(table)]
+    return [*tied(table), *_unreached(table)]
 
 
-def _ties(table: Table) -> list[Finding]:
+def tied(table: Table) -> list[Finding]:
+    """Routes of equal precedence that can match the same request: who takes it would be a surprise."""
     equal: dict[Rank, list[Entry]] = {}
     for entry in table.entries:
         path = entry.match.path
--- a/granitepoint/routing/pools.py
+++ b/granitepoint/routing/pools.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 from fnmatch import fnmatchcase
 
@@ -47,18 +47,21 @@
         self.vanished: dict[str, float] = {}  # since when
         self.spilled = False
 
-    def look(self, endpoints: Iterable[Endpoint], now: float) -> Members:
+    def look(
+        self, endpoints: Iterable[Endpoint], now: float, ill: Set[str] = frozenset()
+    ) -> Members:
+        """`ill` are members that the pool's own module has taken out of use: listed, and not usable."""
         chosen = [one for one in endpoints if one.status != "Gone" and selects(self.pool.selector, one)]
         if not self.pool.local:
-            return self._made(chosen, False, 0, "all zones")
+            return self._made(chosen, ill, False, 0, "all zones")
         local = [one for one in chosen if one.zone == self.zone]
         expected = self._expected(local, now)
-        usable = sum(one.status == "Ready" for one in local)
+        usable = sum(one.status == "Ready" and one.name not in ill for one in local)
         share = usable / expected if expected else 0.0
         bound = self.pool.spill_until if self.spilled else self.pool.spill_below
         self.spilled = usable == 0 or share < bound
         told = f"{usable} of {expected} local members usable"
-        return self._made(chosen if self.spilled else local, self.spilled, expected, told)
+        return self._made(chosen if self.spilled else local, ill, self.spilled, expected, told)
 
     def _expected(self, local: Sequence[Endpoint], now: float) -> int:
         listed = {one.name for one in local}
@@ -72,7 +75,9 @@
         self.ready = ready
         return len(ready) + len(self.vanished)
 
-    def _made(self, chosen: Sequence[Endpoint], spilled: bool, expected: int, reason: str) -> Members:
+    def _made(
+        self, chosen: Sequence[Endpoint], ill: Set[str], spilled: bool, expected: int, reason: str
+    ) -> Members:
         ready = [one.name for one in chosen if one.status == "Ready"]
         size = self.pool.subset
         if size and len(ready) > size:
@@ -80,10 +85,11 @@
             # One that drains stays as long as it would belong here, so that its calls are seen to the end.
             every = frozenset(subset(self.me, [one.name for one in chosen], size))
             draining = [one.name for one in chosen if one.status != "Ready" and one.name in every]
-            return Members(
-                frozenset(kept + draining), len(kept), spilled, expected, f"{reason}; {size} of {len(ready)}"
-            )
-        return Members(frozenset(one.name for one in chosen), len(ready), spilled, expected, reason)
+            usable = sum(name not in ill for name in kept)
+            told = f"{reason}; {size} of {len(ready)}"
+            return Members(frozenset(kept + draining), usable, spilled, expected, told)
+        usable = sum(name not in ill for name in ready)
+        return Members(frozenset(one.name for one in chosen), usable, spilled, expected, reason)
 
 
 def standing_in(
--- a/granitepoint/routing/split.py
+++ b/granitepoint/routing/split.py
@@ -13,6 +13,8 @@
 from functools import lru_cache
 from typing import Any
 
+from granitepoint.routing.model import Ask, Route
+
 SPAN = float(1 << 64)
 
 
@@ -51,3 +53,19 @@
     hashed = hasher()
     scored = ((hashed(f"{me}\0{name}".encode("utf-8", "surrogatepass")), name) for name in names)
     return sorted(name for _, name in heapq.nlargest(size, scored))
+
+
+def first_pool(route: Route, ask: Ask) -> str:
+    """Where a request goes first: the pool, or its side of the split."""
+    split = route.split
+    if split is None:
+        return route.pool
+    kind, _, name = split.by.partition(":")
+    key: str | None = ask.call_id
+    if kind == "tenant":
+        key = ask.tenant
+    elif kind == "header":
+        key = ask.headers.get(name)
+    elif kind == "query":
+        key = ask.query.get(name)
+    return choose(key or ask.call_id, split.weights)
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -34,7 +34,7 @@
 from granitepoint.net.capture import Capture, CaptureSettings
 from granitepoint.net.config import Config, flatten
 from granitepoint.net.discovery import read_listing, server_id
-from granitepoint.net.server import Request
+from granitepoint.net.request import Request
 from granitepoint.replay import Unusable, differences, replay
 
 TENANTS = [{"name": "hill-routes", "quota_rps": 20.0, "portion": 0.5}]
--- /dev/null
+++ b/tests/test_routes_sockets.py
@@ -0,0 +1,307 @@
+"""Routes and pools served by the real program: each action, pools that drain, reload under load, capture."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+from collections.abc import AsyncIterator
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+from netkit import PATIENCE, Backend, Discovery, Proxy, Seen, endpoint, proxy, response, run
+
+from granitepoint.replay import differences
+
+POOLS = """
+pool "south" { names = ["s-*"] }
+pool "north" { names = ["n-*"] }
+pool "none"  { names = ["x-*"] }
+"""
+TABLE = """
+route "stock-south" {
+  prefix = "/stock"
+  header "x-side" { is = "south" }
+  pool = "south"
+}
+route "stock" {
+  prefix = "/stock"
+  pool = "north"
+}
+route "closed" {
+  path = "/stock/closed"
+  answer {
+    code = 503
+    body = "closed for the night"
+    retry_after = 7
+  }
+}
+route "moved" {
+  path = "/old"
+  redirect {
+    code = 308
+    location = "https://new.example{path}{query}"
+  }
+}
+route "edited" {
+  prefix = "/stock/edited"
+  pool = "north"
+  edit_headers {
+    put = { "x-kept" = "new" }
+    add = { "x-more" = "1" }
+    drop = ["x-secret"]
+  }
+}
+route "renamed" {
+  prefix = "/v2/stock"
+  rewrite = "/stock"
+  class = "stock"
+  pool = "north"
+}
+route "empty" {
+  prefix = "/stock/empty"
+  pool = "none"
+}
+route "saved" {
+  prefix = "/stock/saved"
+  pool = "none"
+  fallback = ["south"]
+}
+route "mirrored" {
+  prefix = "/stock/mirrored"
+  pool = "north"
+  mirror { pool = "south" }
+}
+route "hurried" {
+  prefix = "/stock/hurried"
+  pool = "north"
+  timeout_ms = 150
+  attempts = 1
+}
+routes { unchanged = false }
+"""
+
+
+def get(target: str, id: str, **headers: str) -> bytes:
+    lines = [f"GET {target} HTTP/1.1", "Host: x", f"X-Call-Id: {id}", "X-Budget: 1000m"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def routed(
+    tmp_path: Path, table: str, backends: dict[str, Backend], extra: str = "", **more: Any
+) -> AsyncIterator[tuple[Proxy, Path]]:
+    file = tmp_path / "routes.hcl"
+    file.write_text(POOLS + table, encoding="utf-8")
+    features = f'routes {{\n  file = "{file}"\n  watch_ms = 50\n}}\n{extra}'
+    async with proxy(backends, features=features, **more) as node:
+        yield node, file
+
+
+def named(name: str) -> Backend:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(response(200, name.encode()))
+
+    return Backend(behave)
+
+
+def test_each_action_of_a_route_does_what_it_says(tmp_path: Path) -> None:
+    async def slow(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        if seen.target.startswith("/stock/hurried"):
+            return
+        writer.write(response(200, b"north"))
+
+    async def test() -> None:
+        north, south = Backend(slow), named("south")
+        async with routed(tmp_path, TABLE, {"n-1": north, "s-1": south}) as (node, _):
+            caller = await node.caller()
+
+            async def ask(target: str, id: str, **headers: str) -> tuple[int, bytes, dict[str, str]]:
+                reply = await caller.raw(get(target, id, **headers))
+                return reply.code, reply.body, reply.headers
+
+            assert (await ask("/stock/1", "01"))[:2] == (200, b"north")
+            assert (await ask("/stock/1", "02", x_side="south"))[:2] == (200, b"south")
+            code, body, headers = await ask("/stock/closed", "03")
+            assert (code, body, headers["retry-after"]) == (503, b"closed for the night\n", "7.000")
+            code, _, headers = await ask("/old?a=1", "04")
+            assert (code, headers["location"]) == (308, "https://new.example/old?a=1")
+            assert (await ask("/nowhere", "05"))[0] == 404
+            while not north.calls.empty():
+                north.calls.get_nowait()
+            assert (await ask("/stock/edited", "06", x_kept="old", x_secret="s"))[0] == 200
+            seen = await north.calls.get()
+            assert (seen.headers["x-kept"], seen.headers["x-more"]) == ("new", "1")
+            assert "x-secret" not in seen.headers
+            assert (await ask("/v2/stock/7?q=2", "07"))[0] == 200
+            assert (await north.calls.get()).target == "/stock/7?q=2"
+            code, body, headers = await ask("/stock/empty", "08")
+            assert (code, float(headers["retry-after"])) == (503, 1.0)
+            assert (await ask("/stock/saved", "09"))[:2] == (200, b"south")
+            while not south.calls.empty():
+                south.calls.get_nowait()
+            assert (await ask("/stock/mirrored", "0a"))[:2] == (200, b"north")
+            async with asyncio.timeout(PATIENCE):
+                assert (await south.calls.get()).headers["x-call-id"] == "0a"
+            before = north.count
+            code, body, _ = await ask("/stock/hurried", "0b")
+            assert code in (502, 503, 504) and north.count == before + 1  # once, though a GET may be repeated
+
+    run(test())
+
+
+def test_a_pool_whose_members_all_drain_falls_back_and_gets_nothing_new(tmp_path: Path) -> None:
+    table = 'route "r" {\n prefix = "/stock"\n pool = "south"\n fallback = ["north"]\n}\n'
+
+    async def test() -> None:
+        backends = {f"s-{n}": named("south") for n in range(4)} | {"n-1": named("north")}
+        discovery = await Discovery().start()
+        async with routed(tmp_path, table, backends, discovery=discovery) as (node, _):
+            caller = await node.caller()
+            assert (await caller.raw(get("/stock", "01"))).body == b"south"
+            gone = [endpoint(n, b.address, "Terminating") for n, b in backends.items() if n != "n-1"]
+            discovery.put(2, *gone)
+            number, bodies = 1, [b"south"]
+            async with asyncio.timeout(PATIENCE):
+                while bodies[-1] != b"north":
+                    number += 1
+                    reply = await caller.raw(get("/stock", f"{number:04x}"))
+                    assert reply.code == 200
+                    bodies.append(reply.body)
+            counts = [backend.count for name, backend in backends.items() if name != "n-1"]
+            for _ in range(50):
+                number += 1
+                assert (await caller.raw(get("/stock", f"{number:04x}"))).body == b"north"
+            assert [b.count for name, b in backends.items() if name != "n-1"] == counts
+            discovery.put(3, endpoint("s-0", backends["s-0"].address))
+            async with asyncio.timeout(PATIENCE):
+                while (await caller.raw(get("/stock", f"{number:04x}"))).body != b"south":
+                    number += 1
+
+    run(test())
+
+
+def test_a_reload_under_load_loses_nothing_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    def table(pool: str) -> str:
+        return f'route "r" {{\n prefix = "/stock"\n pool = "{pool}"\n}}\n'
+
+    async def slowly(seen: Seen, writer: asyncio.StreamWriter, name: str) -> None:
+        await asyncio.sleep(0.02)
+        writer.write(response(200, name.encode()))
+
+    async def test() -> None:
+        backends = {
+            "s-1": Backend(lambda seen, writer: slowly(seen, writer, "south")),
+            "n-1": Backend(lambda seen, writer: slowly(seen, writer, "north")),
+        }
+        async with routed(tmp_path, table("south"), backends) as (node, file):
+            going, counted = True, [0]
+            sides: list[list[bytes]] = []
+
+            async def load(worker: int) -> None:
+                caller = await node.caller()
+                mine: list[bytes] = []
+                sides.append(mine)
+                while going:
+                    counted[0] += 1
+                    reply = await caller.raw(get("/stock", f"{worker:02x}{counted[0]:010x}"))
+                    assert reply.code == 200, reply.body
+                    mine.append(reply.body)
+
+            loads = [asyncio.create_task(load(worker)) for worker in range(8)]
+            await node.line("generation 1", "in use")
+
+            async def swap(text: str, *said: str) -> str:
+                part = file.with_suffix(".part")
+                part.write_text(POOLS + text, encoding="utf-8")
+                part.replace(file)
+                return await node.line(*said)
+
+            await swap(table("north"), "generation 2", "3 pools kept, 0 begun, 0 ended")
+            whole = POOLS + table("south")
+            file.write_text(whole[: len(whole) - 9], encoding="utf-8")  # half written
+            line = await node.line("generation 2 goes on", "R001")
+            assert f"{file}:" in line
+            await swap(table("nowhere"), "generation 2 goes on", "R201 route r: unknown pool nowhere")
+            node.process.send_signal(signal.SIGHUP)  # the same bad file is not named again
+            wide = table("south").replace("route", 'pool "wide" { names = ["s-*", "n-*"] }\nroute', 1)
+            line = await swap(wide.replace('pool = "south"', 'pool = "wide"'), "routes:")
+            assert "generation 3" in line and "1 begun" in line
+            await swap(table("south"), "generation 4", "1 ended")
+            await asyncio.sleep(0.2)
+            going = False
+            await asyncio.gather(*loads)
+            for mine in sides:  # each worker asks one after another: it sees each change once
+                changes = [after for before, after in pairwise(mine) if before != after]
+                assert mine[0] == b"south" and changes[0] == b"north" and mine[-1] == b"south"
+
+    run(test())
+
+
+def test_the_capture_knows_routes_and_replays_without_a_word(tmp_path: Path) -> None:
+    split = """
+    route "r" {
+      prefix = "/stock"
+      split {
+        by = "header:x-caller"
+        weights = { south = 60, north = 40 }
+      }
+    }
+    """
+    folder = tmp_path / "capture"
+    folder.mkdir()
+
+    async def test() -> None:
+        backends = {"s-1": named("south"), "n-1": named("north")}
+        extra = f'capture {{\n  dir = "{folder}"\n}}\n'
+        async with routed(tmp_path, split, backends, extra) as (node, file):
+            caller = await node.caller()
+            sides: dict[str, set[bytes]] = {}
+            for number in range(60):
+                who = f"c{number % 20}"
+                reply = await caller.raw(get("/stock", f"{number:04x}", X_Caller=who))
+                sides.setdefault(who, set()).add(reply.body)
+                if number == 30:  # the weights change while keyed callers go on
+                    file.write_text(POOLS + split.replace("60", "75").replace("40", "25"), encoding="utf-8")
+                    await node.line("generation 2")
+            moved = {who for who, bodies in sides.items() if len(bodies) > 1}
+            assert len({body for bodies in sides.values() for body in bodies}) == 2
+            assert len(moved) <= 8
+            node.terminate()
+            assert await node.code() == 0
+
+    run(test())
+    (path,) = folder.glob("*.jsonl")
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    told = [line["route"] for line in lines if line["kind"] == "req"]
+    assert {one["generation"] for one in told} == {1, 2} and {one["pool"] for one in told} == {
+        "south",
+        "north",
+    }
+    assert list(differences(str(path))) == []
+    planted = path.read_text().replace("south = 75", "south = 0.01")
+    path.write_text(planted)
+    found = [difference for _, difference in differences(str(path))]
+    assert found and all(then.startswith("route:r:south") for then, _ in found)
+
+
+@pytest.mark.parametrize(
+    "table, why",
+    [
+        ('route "r" {\n pool = "nowhere"\n}', "R201"),
+        ('route "r" {\n prefix = "/canje"\n pool = "south"\n mirror { pool = "north" }\n}', "R402"),
+        ('route "r" {\n class = "stok"\n pool = "south"\n}', "R202"),
+        ('route "a" { pool = "south" }\nroute "b" { pool = "north" }', "R101"),
+    ],
+)
+def test_a_file_that_is_no_good_is_one_line_and_exit_2(table: str, why: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        with pytest.raises(AssertionError, match=f"routes.hcl:[0-9]+:[0-9]+: {why} "):
+            async with routed(tmp_path, table, {"s-1": named("south")}):
+                pass
+
+    run(test())
