Describe applications, check them together, build, diff and explain their sidecars

Change: gladegw apps check, build, diff, explain and fmt on descriptions of applications, gladegw routes test on expectations; findings have stable codes, places, hints, JSON and SARIF. The operators' deployment is the example, and the demo serves it over three tiers. A route's allowance counts attempts that may have run.

--- /dev/null
+++ b/examples/malabar/apps/platform.hcl
@@ -0,0 +1,5 @@
+# What holds for all applications of the charger finder.
+platform {
+  attempts_over_tiers = 12
+  unchanged           = true
+}
--- /dev/null
+++ b/examples/malabar/clients.hcl
@@ -0,0 +1,8 @@
+# Features of the proxies that route for dashboards, for the demo.
+figures {}
+
+capture {}
+
+routes {
+  file = "examples/malabar/sidecars/dashboards.routes.hcl"
+}
--- /dev/null
+++ b/granitepoint/apps/__init__.py
@@ -0,0 +1,1 @@
+"""Descriptions of applications, and the sidecar configuration that follows from them."""
--- /dev/null
+++ b/granitepoint/apps/sarif.py
@@ -0,0 +1,33 @@
+"""Findings as SARIF 2.1.0 (OASIS), which code hosts show beside the lines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from granitepoint.routing.findings import CODES, Finding, Place
+
+SCHEMA = "https://json.schemastore.org/sarif-2.1.0.json"
+
+
+def _location(place: Place) -> dict[str, Any]:
+    region = {"startLine": max(1, place.line), "startColumn": max(1, place.column)}
+    return {"physicalLocation": {"artifactLocation": {"uri": place.file}, "region": region}}
+
+
+def sarif(findings: Iterable[Finding]) -> dict[str, Any]:
+    results = []
+    for found in findings:
+        text = f"{found.message}; {found.hint}" if found.hint else found.message
+        result: dict[str, Any] = {
+            "ruleId": found.code, "level": "error", "message": {"text": text},
+            "locations": [_location(found.place)],
+        }  # fmt: skip
+        if found.other is not None:
+            result["relatedLocations"] = [_location(found.other)]
+        results.append(result)
+    rules = [{"id": code, "shortDescription": {"text": text}} for code, text in CODES.items()]
+    return {
+        "$schema": SCHEMA, "version": "2.1.0",
+        "runs": [{"tool": {"driver": {"name": "gladegw", "rules": rules}}, "results": results}],
+    }  # fmt: skip
--- a/granitepoint/cli/__init__.py
+++ b/granitepoint/cli/__init__.py
@@ -14,9 +14,11 @@
     "rig": ("granitepoint.cli.rig", "rig"),
     "load": ("granitepoint.cli.load", "load"),
     "experiment": ("granitepoint.cli.experiment", "experiment"),
+    "apps": ("granitepoint.cli.apps", "apps"),
+    "routes": ("granitepoint.cli.routes", "routes"),
     "demo": ("granitepoint.cli.demo", "demo"),
 }
-NEEDED = {"msgspec", "hdrh", "numpy", "matplotlib", "rich", "click"}
+NEEDED = {"msgspec", "hdrh", "numpy", "matplotlib", "rich", "click", "re2", "xxhash"}
 
 
 class Lazy(click.Group):
--- a/granitepoint/cli/common.py
+++ b/granitepoint/cli/common.py
@@ -10,8 +10,10 @@
 
 import click
 
+from granitepoint.apps.files import FolderError
 from granitepoint.net.config import ConfigError
 from granitepoint.rig.errors import RigError
+from granitepoint.routing.findings import RoutingError
 
 P = ParamSpec("P")
 R = TypeVar("R")
@@ -24,7 +26,7 @@
     def wrapped(*args: P.args, **kwargs: P.kwargs) -> R:
         try:
             return command(*args, **kwargs)
-        except (RigError, ConfigError) as fault:
+        except (RigError, ConfigError, RoutingError, FolderError) as fault:
             raise click.ClickException(" ".join(str(fault).split())) from None
 
     return wrapped
--- a/granitepoint/cli/demo.py
+++ b/granitepoint/cli/demo.py
@@ -27,6 +27,7 @@
 FILE = Path(scenarios.__file__).with_name("demo.hcl")
 LENGTH = 30.0  # s for which the file is written
 SHORTEST = 2.0
+BEHIND = "of-"  # how the names of the proxies behind the first tier begin
 
 
 def shortened(scenario: Scenario, duration: float) -> Scenario:
@@ -55,12 +56,17 @@
             served = now["worth"] / now["asked"] if now.get("asked") else 0.0
             good = codes.get("200", 0) - old.get("200", 0)
             ended = sum(codes.values()) - sum(old.values())
-            used = []
+            used, others, most = [], 0.0, 0.0
             for name, sample in sorted(samples.items()):
                 cpu, when = self.cpu.get(name, (sample.cpu, sample.at - 1))
                 share = (sample.cpu - cpu) / max(0.1, sample.at - when)
-                used.append(f"{name} {share:4.0%} {sample.memory:.0f} MB")
                 self.cpu[name] = sample.cpu, sample.at
+                if name.startswith(BEHIND):
+                    others, most = others + share, max(most, sample.memory)
+                else:
+                    used.append(f"{name} {share:4.0%} {sample.memory:.0f} MB")
+            if most:
+                used.append(f"behind {others:4.0%} {most:.0f} MB")
             faults = ", ".join(kind for kind, begin, end in bands(self.scenario) if begin <= at <= end)
             self.rows.append((
                 f"{at:.0f}", str(now["sent"] - self.before["sent"]), str(good), str(ended - good),
@@ -71,7 +77,7 @@
 
     @staticmethod
     def table(rows: list[tuple[str, ...]]) -> Table:
-        table = Table(title="two proxies, eight nodes", box=None, header_style="bold")
+        table = Table(title="the clients' two proxies, before three tiers", box=None, header_style="bold")
         for name in ("s", "sent/s", "served/s", "not", "open", "worth served", "proxies", "faults now"):
             table.add_column(name, justify="left" if name in ("proxies", "faults now") else "right")
         for row in rows:
@@ -104,7 +110,8 @@
     folder: str | None,
     as_json: bool,
 ) -> None:
-    """Discovery, eight nodes and two proxies under 170 requests/s, through a rolling deploy and fast errors.
+    """Three tiers in two centres under 120 requests/s, routed as examples/malabar describes, through a
+    rolling deploy and fast errors.
 
     Exit code 0 only if every rule held.
     """
@@ -112,8 +119,9 @@
     replace = msgspec.structs.replace
     if seed is not None:
         scenario = replace(scenario, run=replace(scenario.run, seed=seed))
-    if not (ROOT / scenario.proxies.features).is_file():  # an installed package comes without deploy/
-        scenario = replace(scenario, proxies=replace(scenario.proxies, features=""))
+    tiers = scenario.tiers
+    if not all((ROOT / tier.features).is_file() for tier in tiers):  # a package comes without examples/
+        scenario = replace(scenario, tiers=tuple(replace(tier, features="") for tier in tiers))
     with tempfile.TemporaryDirectory(prefix="gladegw-demo-") as scratch:
         where = Path(folder) if folder else Path(scratch)
         view = View(scenario)
--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -223,7 +223,7 @@
     resent: bool = False
     write: bool = False
     key: str = ""  # the subject of the request, where it has one
-    attempts: int = 0  # most that its route allows; 0: as the settings say, which are never exceeded
+    attempts: int = 0  # most that its route lets run; 0: as the settings say, which are never exceeded
     limit: float = math.inf  # seconds that its route allows; the budget stays the client's own
 
 
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -189,9 +189,11 @@
         return self.same_group(call.cls, first.server, server) and now - first.sent_at < call.cls.window
 
     def spent(self, call: Call) -> bool:
-        """Whether the settings, or the call's route, allow no further attempt."""
-        made = len(call.attempts)
-        return made >= self.settings.max_attempts or 0 < call.most <= made
+        """Whether the settings, or the call's route, allow no further attempt. A route counts those that may
+        have run; what was turned away unseen is none of its concern."""
+        if len(call.attempts) >= self.settings.max_attempts:
+            return True
+        return call.most > 0 and call.most <= sum(a.status not in NEVER_RAN for a in call.attempts)
 
     @staticmethod
     def same_group(cls: Kind, one: Server, other: Server) -> bool:
--- a/granitepoint/rig/node.py
+++ b/granitepoint/rig/node.py
@@ -282,8 +282,9 @@
         job.calls += 1
         left = run.whole + job.budget - ANSWER_MARGIN - time.monotonic()
         id = f"{run.id}.{self.tier + 1}{job.calls}-{self.name}-{number}"
+        host = self.fleet.tiers[self.tier + 1].host or self.next.host
         lines = [
-            f"{'POST' if run.key else 'GET'} /{run.cls}/{job.calls} HTTP/1.1", f"Host: {self.next.host}",
+            f"{'POST' if run.key else 'GET'} /{run.cls}/{job.calls} HTTP/1.1", f"Host: {host}",
             f"X-Call-Id: {id}", f"X-Budget: {max(1, int(left * 1e6))}u", f"X-Parent: {run.id}",
         ]  # fmt: skip
         if run.key:
--- a/granitepoint/rig/scenario.py
+++ b/granitepoint/rig/scenario.py
@@ -125,6 +125,8 @@
     work: float = 1.0  # share of a request's work that is done here, for each call
     calls: float = 1.0  # of this tier for a request of the tier before, on average
     zones: tuple[str, ...] = ("a",)
+    host: str = ""  # under which it is called; the proxy's address, if none is named
+    features: str = ""  # a settings file of the proxies in front of it, in place of the others'
 
     def __post_init__(self) -> None:
         self.within(1, 1000, "nodes")
--- a/granitepoint/routing/cells.py
+++ b/granitepoint/routing/cells.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from ipaddress import ip_address
+from itertools import chain
 from typing import Any
 
 from granitepoint.routing import regex
@@ -19,6 +20,8 @@
 
 MOST_STEPS = 400_000  # looks at atoms, after which a question is given up as undecided
 
+UNNAMED = "_"  # a label of a host that no pattern may hold
+
 Truth = bool | None  # None: can't be told
 Dimension = tuple[str, str]  # kind, and a name for headers and query parameters
 
@@ -191,6 +194,14 @@
     def __init__(self, tables: Sequence[Table], region: Match, most: int = MOST_STEPS) -> None:
         self.tables, self.region, self.left = tables, region, most
         self.wanted: dict[int, dict[Dimension, Wanted]] = {}
+        named = {*region.path.value.split("/"), *region.classes}
+        for table in tables:
+            named.update(table.classes)
+        word, number = "other", 0
+        while word in named or any(word in table.segments for table in tables):
+            number += 1
+            word = f"other{number}"
+        self.other = word  # a part of a path that nothing names
 
     def step(self) -> None:
         self.left -= 1
@@ -213,18 +224,12 @@
     def hosts(self) -> Iterator[str]:
         """The region's own first, then those that some table names within it."""
         patterns = self.region.hosts or ("",)
-        listed = {host for table in self.tables for host in table.exact_hosts}
-        wild = {"*" + host for table in self.tables for host in table.wild_hosts}
-        taken = listed | wild | set(patterns)
+        listed = [table.hosts for table in self.tables]
         seen: set[str] = set()
-        for pattern in (*patterns, *sorted(listed | wild)):
-            if not pattern:
-                sample = unused("other", taken)
-            elif pattern.startswith("*."):
-                labels = {host.partition(".")[0] for host in taken}
-                sample = unused("other", labels) + pattern[1:]
-            else:
-                sample = pattern
+        for pattern in chain(patterns, *listed):
+            sample = pattern or UNNAMED
+            if pattern.startswith("*."):
+                sample = UNNAMED + pattern[1:]
             if sample not in seen and any(host_holds(own, sample) for own in patterns):
                 seen.add(sample)
                 yield sample
@@ -238,32 +243,23 @@
             for paths in table.paths(host):
                 yield paths.exact
                 yield paths.prefixes
-        yield sorted({
-            f"/{name}" for table in self.tables for entry in table.entries for name in entry.match.classes
-        })  # fmt: skip
+            yield [f"/{name}" for name in table.classes]
 
     def paths(self, host: str) -> Iterator[Atom]:
         own = self.region.path
         inside = own.value + "/" if own.kind == "prefix" else ""
         seen: set[str] = set()
-        taken: set[str] | None = None
-        for texts in self.named_paths(host):
-            for text in texts:
-                if text in seen or not (text == own.value or text.startswith(inside)):
-                    continue
-                seen.add(text)
-                if taken is None:
-                    taken = {
-                        part for some in self.named_paths(host) for one in some for part in one.split("/")
-                    }
-                if own.kind != "exact":
-                    stem = text.removesuffix("/")
-                    yield Atom(f"{stem}/{unused('other', taken)}", True)
-                if text:
-                    yield Atom(text)
+        for text in chain.from_iterable(self.named_paths(host)):
+            if text in seen or not (text == own.value or text.startswith(inside)):
+                continue
+            seen.add(text)
+            if own.kind != "exact":
+                yield Atom(f"{text.removesuffix('/')}/{self.other}", True)
+            if text:
+                yield Atom(text)
         if inside in ("", "/") and own.kind != "exact":
             if "" not in seen:
-                yield Atom(f"/{unused('other', taken or ())}", True)
+                yield Atom(f"/{self.other}", True)
             if "/" not in seen:
                 yield Atom("/")
 
--- a/granitepoint/routing/expect.py
+++ b/granitepoint/routing/expect.py
@@ -236,12 +236,12 @@
 
 
 def _decide_all(table: Table, expectation: Expectation, region: Match, into: Result) -> None:
-    failed: dict[Want, Failure] = {}
+    failed: dict[Place, Failure] = {}  # by the want's place
     any_cell = False
     cls = region.classes[0] if region.classes else ""
 
     def fail(want: Want, got: str, never: bool = False) -> None:
-        failed.setdefault(want, Failure(expectation.name, want.place, f"all: {want}", got, never))
+        failed.setdefault(want.place, Failure(expectation.name, want.place, f"all: {want}", got, never))
 
     try:
         for cell in cells([table], region):
@@ -254,7 +254,7 @@
                 if route is not None:
                     into.touched.add(str(route))
                 for want in expectation.wants:
-                    if want in failed or holds(want, route, asked.cls):
+                    if want.place in failed or holds(want, route, asked.cls):
                         continue
                     doubt = "" if sure else " can't be excluded (a regular expression decides):"
                     fail(want, f"{cell}:{doubt} {outcome(route)}", _impossible(table, [want], cls))
--- a/granitepoint/routing/matcher.py
+++ b/granitepoint/routing/matcher.py
@@ -152,7 +152,9 @@
 class Table:
     """Immutable once made. `find` is pure: the same request always gets the same entry."""
 
-    __slots__ = ("any_host", "description", "entries", "exact_hosts", "longest_wild", "wild_hosts")
+    __slots__ = (
+        "any_host", "classes", "description", "entries", "exact_hosts", "hosts", "segments", "wild_hosts",
+    )  # fmt: skip
 
     def __init__(self, description: Description) -> None:
         self.description = description
@@ -174,6 +176,10 @@
                 self.wild_hosts[host[1:]] = Paths(entries)
             else:
                 self.exact_hosts[host] = Paths(entries)
+        self.hosts = tuple(sorted(by_host))  # patterns
+        matches = [entry.match for entry in self.entries]
+        self.classes = tuple(sorted({name for match in matches for name in match.classes}))
+        self.segments = frozenset(part for match in matches for part in match.path.value.split("/"))
 
     def paths(self, host: str) -> Iterator[Paths]:
         """What may serve a host, the most specific first."""
--- a/granitepoint/routing/read.py
+++ b/granitepoint/routing/read.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 from ipaddress import ip_network
 
 from granitepoint.routing import regex
@@ -125,6 +126,7 @@
 
 def _path(fields: Fields) -> Path:
     kinds = [key for key in ("path", "prefix", "regex") if fields.has(key)]
+    kinds.sort(key=fields.block.place_of)
     if len(kinds) > 1:
         fields.fault("R007", f"{kinds[0]} and {kinds[1]} exclude each other", kinds[1])
     if not kinds:
@@ -269,12 +271,13 @@
     inner = list(block.of("match"))
     if not inner:
         return (own,)
-    if own != Match():
-        fields.fault("R007", "matchers stand either in the route or in its match blocks")
+    if replace(own, hosts=()) != Match():
+        fields.fault("R007", "matchers but hosts stand either in the route or in its match blocks")
     found = []
     for one in inner:
         more = Fields(one, findings, MATCHERS)
-        found.append(match_of(more))
+        match = match_of(more)
+        found.append(match if match.hosts else replace(match, hosts=own.hosts))
         more.done()
     return tuple(found)
 
