--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -65,14 +65,13 @@
         asks.append(Ask("GET", target, f"s{number % HOSTS}.example:8080", headers, 500.0))
     assert all(table.find(ask) for ask in asks) and not findings
     best = float("inf")
-    rounds = ROUNDS if kind != "regex" else 1
-    for _ in range(rounds):
+    for _ in range(ROUNDS):
         start = time.perf_counter()
         for ask in asks:
             table.find(ask)
         best = min(best, (time.perf_counter() - start) / ASKS)
     whole = float("inf")  # with making the request's view, as the front does
-    for _ in range(rounds):
+    for _ in range(ROUNDS):
         start = time.perf_counter()
         for ask in asks:
             table.find(Ask("GET", ask.path, ask.host, headers, 500.0))
@@ -92,7 +91,8 @@
         out += [f'class "c{cls}" {{\n  aim_ms = 100\n  timeout_ms = 1000\n}}' for cls in range(ROUTES)]
     out.append(f'pool "pool{number}" {{ names = ["a{number}-*"] }}')
     out += [
-        f'route "c{cls}" {{\n  host = "app{number}.example"\n  prefix = "/c{cls}"\n  pool = "pool{number}"\n}}'
+        f'route "c{cls}" {{\n  host = "app{number}.example"\n  prefix = "/c{cls}"\n'
+        f'  pool = "pool{number}"\n}}'
         for cls in range(ROUTES)
     ]
     return "\n".join(out) + "\n"
--- a/granitepoint/rig/faults.py
+++ b/granitepoint/rig/faults.py
@@ -55,15 +55,17 @@
 
 def _nodes(fault: Fault, tier: Tier, draws: Random) -> list[Step]:
     """Faults of single nodes, by count or by share."""
+    places = [n for n in range(tier.nodes) if fault.zone in ("", tier.zones[n % len(tier.zones)])]
     counted = fault.kind not in ("fast_errors", "slow")
     count = min(tier.nodes, fault.count if counted else max(1, round(fault.share * tier.nodes)))
+    chosen = places if fault.zone else sorted(draws.sample(places, count))
     until = fault.at + fault.lasts
     if fault.kind == "kill":
         until = fault.at + fault.back if fault.back else 0.0
     size = fault.size if fault.kind == "slow" else fault.fails
     return [
         Step(fault.at, "fleet", fault.kind, place(tier.name, number), until, size, fault.manner)
-        for number in sorted(draws.sample(range(tier.nodes), count))
+        for number in chosen
     ]
 
 
--- a/granitepoint/rig/scenario.py
+++ b/granitepoint/rig/scenario.py
@@ -28,9 +28,9 @@
         ("fast_errors", "lasts share", "fails tier"),
         ("slow", "lasts size", "share tier"),
         ("deploy", "lasts", "share at_once drain tier"),
-        ("kill", "", "count back tier"),
-        ("freeze", "lasts", "count tier"),
-        ("vanish", "lasts", "count tier"),
+        ("kill", "", "count back tier zone"),
+        ("freeze", "lasts", "count tier zone"),
+        ("vanish", "lasts", "count tier zone"),
         ("reset", "lasts manner", "count fails tier"),
         ("drip", "lasts", "count fails tier"),
         ("garbage", "lasts", "count fails tier"),
@@ -207,6 +207,7 @@
     edge: float = 0.3
     fails: float = 0.7  # share of the requests that it touches
     tier: str = ""  # the first one, if none is named
+    zone: str = ""  # all its nodes, in place of a count
     manner: str = ""
     back: float = 0.0  # s after which what ended starts again; 0: never
     at_once: float = 0.15  # of the nodes, that a deploy replaces at a time
--- a/granitepoint/routing/cells.py
+++ b/granitepoint/routing/cells.py
@@ -188,6 +188,11 @@
     return [Atom(text) for text in sorted(found)]
 
 
+def literal_folder(pattern: str) -> str:
+    start = regex.literal_start(pattern)
+    return start[: max(0, start.rfind("/"))]
+
+
 class Question:
     """One walk over the cells of a region, for one table or several at once."""
 
@@ -237,7 +242,7 @@
     def named_paths(self, host: str) -> Iterator[Iterable[str]]:
         """The texts by which paths are told apart, the region's own first."""
         own = self.region.path
-        yield [] if own.kind == "regex" else [own.value]
+        yield [literal_folder(own.value)] if own.kind == "regex" else [own.value]
         yield [f"/{name}" for name in self.region.classes]
         for table in self.tables:
             for paths in table.paths(host):
@@ -248,10 +253,13 @@
     def paths(self, host: str) -> Iterator[Atom]:
         own = self.region.path
         inside = own.value + "/" if own.kind == "prefix" else ""
+        start = regex.literal_start(own.value) if own.kind == "regex" else ""
         seen: set[str] = set()
         for text in chain.from_iterable(self.named_paths(host)):
             if text in seen or not (text == own.value or text.startswith(inside)):
                 continue
+            if start and not (text.startswith(start) or start.startswith(text)):
+                continue
             seen.add(text)
             if own.kind != "exact":
                 yield Atom(f"{text.removesuffix('/')}/{self.other}", True)
@@ -271,10 +279,15 @@
             part: list[tuple[Entry, Truth]] = []
             if not path.open:
                 part += [(entry, True) for entry in paths.exact.get(path.sample, ())]
-            for _, entry in paths.regexes:
-                truth = path_truth(entry.match.path, path)
-                if truth is not False:
-                    part.append((entry, truth))
+            if paths.regexes:
+                text = path.sample
+                below = paths.below(text[: text.rfind("/") + 1]) if path.open else [
+                    entry for _, _, entry in paths.near(text)
+                ]
+                for entry in below:
+                    truth = path_truth(entry.match.path, path)
+                    if truth is not False:
+                        part.append((entry, truth))
             at = path.sample
             while True:
                 part += [(entry, True) for entry in paths.prefixes.get(at, ())]
@@ -370,22 +383,17 @@
     """Whether an entry takes any request: `yes`, `maybe`, `never` or `nothing` (no request can match it),
     and who takes its requests instead."""
     before: dict[Entry, None] = {}
-    maybe = any_cell = False
+    any_cell = False
     try:
         for cell in cells([table], region_of(entry)):
             any_cell = True
             hits = cell.hits[0]
             for place, (found, truth) in enumerate(hits):
-                if found is entry:
-                    if truth is True and place == 0 and cell.sure:
-                        return "yes", ()
-                    maybe = True
-                    break
+                if found is entry:  # nobody before it surely takes this cell
+                    return ("yes" if truth is True and place == 0 and cell.sure else "maybe"), ()
                 before[found] = None
     except Undecided:
         return "maybe", ()
-    if maybe:
-        return "maybe", ()
     return ("never", tuple(before)) if any_cell else ("nothing", ())
 
 
--- a/granitepoint/routing/checks.py
+++ b/granitepoint/routing/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from itertools import combinations
 
 from granitepoint.routing.cells import meet, reach
@@ -10,6 +10,7 @@
 from granitepoint.routing.matcher import Entry, Rank, Table
 from granitepoint.routing.model import ClassRule, Description, Endpoint, Route
 from granitepoint.routing.pools import selects
+from granitepoint.routing.regex import literal_start
 
 
 def check_table(table: Table) -> list[Finding]:
@@ -26,7 +27,7 @@
         equal.setdefault((*entry.rank, entry.host, text), []).append(entry)
     found: dict[tuple[str, str], Finding] = {}
     for entries in equal.values():
-        for one, other in combinations(entries, 2):
+        for one, other in _pairs(entries):
             if one.route is other.route or meet(one, other) is False:
                 continue
             what = f"routes {one.route} and {other.route} can match the same request with equal precedence"
@@ -38,6 +39,22 @@
     return list(found.values())
 
 
+def _pairs(entries: list[Entry]) -> Iterator[tuple[Entry, Entry]]:
+    """Pairs that may meet: of regular expressions only those of which one's literal start begins the
+    other's."""
+    if entries[0].match.path.kind != "regex":
+        yield from combinations(entries, 2)
+        return
+    starts = sorted(
+        ((literal_start(entry.match.path.value), entry) for entry in entries), key=lambda one: one[0]
+    )
+    for number, (start, one) in enumerate(starts):
+        for other_start, other in starts[number + 1 :]:
+            if not other_start.startswith(start):
+                break
+            yield one, other
+
+
 def _unreached(table: Table) -> list[Finding]:
     by_route: dict[int, list[Entry]] = {}
     for entry in table.entries:
--- a/granitepoint/routing/matcher.py
+++ b/granitepoint/routing/matcher.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -111,35 +112,42 @@
 class Paths:
     """All entries of one host pattern, by path."""
 
-    __slots__ = ("deepest", "exact", "prefixes", "regexes")
+    __slots__ = ("deepest", "exact", "prefixes", "regexes", "regexes_deepest", "starts")
 
     def __init__(self, entries: Sequence[Entry]) -> None:
         self.exact: dict[str, list[Entry]] = {}
         self.prefixes: dict[str, list[Entry]] = {}
-        self.regexes: list[tuple[Any, Entry]] = []
-        for entry in sorted(entries, key=lambda one: one.order):
+        # By the folder that a pattern's literal start lies in: only these can hold for a path below it.
+        self.regexes: dict[str, list[tuple[int, Any, Entry]]] = {}
+        starts: list[tuple[str, int, Entry]] = []
+        for place, entry in enumerate(sorted(entries, key=lambda one: one.order)):
             path = entry.match.path
             if path.kind == "exact":
                 self.exact.setdefault(path.value, []).append(entry)
             elif path.kind == "prefix":
                 self.prefixes.setdefault(path.value, []).append(entry)
             else:
-                self.regexes.append((regex.compiled(path.value), entry))
+                start = regex.literal_start(path.value)
+                starts.append((start, place, entry))
+                item = (place, regex.compiled(path.value), entry)
+                self.regexes.setdefault(start[: max(0, start.rfind("/"))], []).append(item)
+        self.starts = sorted(starts, key=lambda one: one[:2])
         self.deepest = max((prefix.count("/") for prefix in self.prefixes), default=-1)
+        self.regexes_deepest = max((folder.count("/") for folder in self.regexes), default=-1)
 
     def groups(self, path: str) -> Iterator[Sequence[Entry]]:
         """Entries whose path holds, the first in the order first."""
         found = self.exact.get(path)
         if found is not None:
             yield found
-        for pattern, entry in self.regexes:
-            if pattern.fullmatch(path) is not None:
-                yield (entry,)
+        if self.regexes:
+            found = [item[2] for item in self.near(path) if item[1].fullmatch(path) is not None]
+            if found:
+                yield found
         if self.deepest < 0:
             return
         prefixes = self.prefixes
-        if path.count("/") > self.deepest:  # deeper than any prefix: only so many segments count
-            path = "/".join(path.split("/", self.deepest + 1)[: self.deepest + 1])
+        path = cut(path, self.deepest)
         while True:
             found = prefixes.get(path)
             if found is not None:
@@ -148,6 +156,36 @@
                 return
             path = path[: path.rfind("/")]
 
+    def near(self, path: str) -> list[tuple[int, Any, Entry]]:
+        """Regular expressions whose literal start does not rule a path out, in their order."""
+        found: list[tuple[int, Any, Entry]] = []
+        at = cut(path, self.regexes_deepest + 1)
+        while True:
+            at = at[: max(0, at.rfind("/"))]
+            found += self.regexes.get(at, ())
+            if not at:
+                break
+        if len(found) > 1:
+            found.sort(key=lambda item: item[0])
+        return found
+
+    def below(self, folder: str) -> list[Entry]:
+        """Regular expressions that may hold for some path below a folder (`/a/`), in their order."""
+        found = [(place, entry) for place, _, entry in self.near(folder)]
+        for number in range(bisect_left(self.starts, folder, key=lambda one: one[0]), len(self.starts)):
+            start, place, entry = self.starts[number]
+            if not start.startswith(folder):
+                break
+            found.append((place, entry))
+        return [entry for _, entry in sorted(dict(found).items())]
+
+
+def cut(path: str, deepest: int) -> str:
+    """A path deeper than any that is named: only so many segments count."""
+    if path.count("/") > deepest:
+        return "/".join(path.split("/", deepest + 1)[: deepest + 1])
+    return path
+
 
 class Table:
     """Immutable once made. `find` is pure: the same request always gets the same entry."""
--- a/granitepoint/routing/model.py
+++ b/granitepoint/routing/model.py
@@ -208,7 +208,7 @@
     name: str
     selector: Selector = EVERY
     local: bool = False  # members of the proxy's own zone, as long as enough of them are usable
-    spill_below: float = 0.5  # share of usable local members under which all zones serve
+    spill_below: float = 0.5  # share of usable local members under which all zones serve; 0: never
     spill_until: float = 0.7  # share from which the zone serves alone again
     remember_s: float = 300.0  # for how long a member that vanished is still counted as expected
     subset: int = 0  # members that one proxy uses; 0: all
--- a/granitepoint/routing/pools.py
+++ b/granitepoint/routing/pools.py
@@ -59,7 +59,7 @@
         usable = sum(one.status == "Ready" and one.name not in ill for one in local)
         share = usable / expected if expected else 0.0
         bound = self.pool.spill_until if self.spilled else self.pool.spill_below
-        self.spilled = usable == 0 or share < bound
+        self.spilled = self.pool.spill_below > 0 and (usable == 0 or share < bound)
         told = f"{usable} of {expected} local members usable"
         return self._made(chosen if self.spilled else local, ill, self.spilled, expected, told)
 
--- a/granitepoint/routing/read.py
+++ b/granitepoint/routing/read.py
@@ -357,28 +357,30 @@
 
 
 def circles(edges: dict[str, tuple[str, ...]]) -> list[tuple[str, ...]]:
-    """Each circle once, from its first name on."""
+    """One circle at least of each knot of names, each from its first name on; each edge is walked once."""
     found: set[tuple[str, ...]] = set()
-    done: set[str] = set()
+    open_at: dict[str, int] = {}  # place in the trail
+    closed: set[str] = set()
     for start in sorted(edges):
-        trail: list[str] = []
-        stack: list[tuple[str, int]] = [(start, 0)]
-        while stack:
-            name, depth = stack.pop()
-            del trail[depth:]
-            if name in trail:
-                circle = trail[trail.index(name) :]
+        if start in closed:
+            continue
+        trail = [start]
+        open_at[start] = 0
+        below = [iter(edges[start])]
+        while trail:
+            name = next(below[-1], None)
+            if name is None:
+                closed.add(trail[-1])
+                del open_at[trail.pop()]
+                below.pop()
+            elif name in open_at:
+                circle = trail[open_at[name] :]
                 first = circle.index(min(circle))
                 found.add(tuple(circle[first:] + circle[:first]))
-                continue
-            if name in done:
-                continue
-            trail.append(name)
-            below = [after for after in sorted(edges.get(name, ()), reverse=True) if after in edges]
-            stack += [(after, len(trail)) for after in below]
-            if not below:
-                done.add(name)
-        done.add(start)
+            elif name in edges and name not in closed:
+                open_at[name] = len(trail)
+                trail.append(name)
+                below.append(iter(edges[name]))
     return sorted(found)
 
 
