--- /dev/null
+++ b/benchmarks/routes/all.hcl
@@ -0,0 +1,1 @@
+routes { file = "benchmarks/routes/all.routes.hcl" }
--- /dev/null
+++ b/benchmarks/routes/all.routes.hcl
@@ -0,0 +1,3 @@
+pool "fleet" {}
+
+route "all" { pool = "fleet" }
--- /dev/null
+++ b/benchmarks/routes/by-class.hcl
@@ -0,0 +1,1 @@
+routes { file = "benchmarks/routes/by-class.routes.hcl" }
--- /dev/null
+++ b/benchmarks/routes/no-spill.hcl
@@ -0,0 +1,1 @@
+routes { file = "benchmarks/routes/no-spill.routes.hcl" }
--- /dev/null
+++ b/benchmarks/routes/spill.hcl
@@ -0,0 +1,1 @@
+routes { file = "benchmarks/routes/spill.routes.hcl" }
--- /dev/null
+++ b/benchmarks/routes/subset-10.hcl
@@ -0,0 +1,1 @@
+routes { file = "benchmarks/routes/subset-10.routes.hcl" }
--- /dev/null
+++ b/benchmarks/routes/subset-10.routes.hcl
@@ -0,0 +1,3 @@
+pool "fleet" { subset = 10 }
+
+route "all" { pool = "fleet" }
--- /dev/null
+++ b/benchmarks/routes/subset-30.hcl
@@ -0,0 +1,1 @@
+routes { file = "benchmarks/routes/subset-30.routes.hcl" }
--- /dev/null
+++ b/benchmarks/routes/subset-30.routes.hcl
@@ -0,0 +1,3 @@
+pool "fleet" { subset = 30 }
+
+route "all" { pool = "fleet" }
