--- a/granitepoint/apps/write.py
+++ b/granitepoint/apps/write.py
@@ -73,6 +73,7 @@
     lines.put("types", selector.types)
     lines.put("groups", selector.groups)
     lines.put("names", selector.names)
+    lines.put("statuses", selector.statuses)
     lines.put("least_weight", selector.least_weight, EVERY.least_weight)
     if pool.local:
         lines.put("local", True)
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -44,7 +44,9 @@
     except ConfigError as fault:
         log.error("%s", fault)
     if not isinstance(driver, Driver):
-        running.append(asyncio.get_running_loop().create_task(driver.reload()))
+        task = asyncio.get_running_loop().create_task(driver.reload())
+        running.append(task)
+        task.add_done_callback(running.remove)
 
 
 def pools(settings: RoutesSettings, config: Config, capture: Capture | None) -> Pools:
--- a/granitepoint/rig/ledger.py
+++ b/granitepoint/rig/ledger.py
@@ -111,6 +111,7 @@
     cpu: float = 0.0  # s since the process began
     memory: float = 0.0  # MB
     descriptors: int = 0
+    probes: int = 0  # that a node was asked in all
 
 
 class Origin(msgspec.Struct, tag="origin", tag_field="kind", omit_defaults=True):
--- a/granitepoint/rig/node.py
+++ b/granitepoint/rig/node.py
@@ -162,6 +162,7 @@
         self.stuffing: list[socket.socket] = []  # connections that fill the backlog of a vanished machine
         self.manner, self.manner_share = "", 0.0
         self.errors = 0.0  # share of requests that fail at once
+        self.probes = 0
         self.next: Pool | None = None  # to its own proxy before the next tier
         self.since_ms = int(time.time() * 1000) if cold else 0
         self.started = False
@@ -201,6 +202,7 @@
             self.model.burden(now, self.kind.handshake)
         if target in (b"/healthz", b"/load"):
             self.model.burden(now, self.kind.probe_work)
+            self.probes += 1
             connection.reply(200 if self.model.life is Life.UP else 503, self._report)
             return
         id = headers.get(b"x-call-id", b"").decode("latin-1")
--- a/granitepoint/routing/model.py
+++ b/granitepoint/routing/model.py
@@ -197,6 +197,7 @@
     types: tuple[str, ...] = ()
     groups: tuple[int, ...] = ()
     names: tuple[str, ...] = ()  # shell patterns
+    statuses: tuple[str, ...] = ()  # Ready, Terminating; both, if none is named
     least_weight: float = 0.0
 
 
--- a/granitepoint/routing/pools.py
+++ b/granitepoint/routing/pools.py
@@ -17,6 +17,7 @@
     return (
         (not selector.zones or endpoint.zone in selector.zones)
         and (not selector.types or endpoint.type in selector.types)
+        and (not selector.statuses or endpoint.status in selector.statuses)
         and (not selector.groups or endpoint.group in selector.groups)
         and endpoint.weight >= selector.least_weight
         and (not selector.names or any(fnmatchcase(endpoint.name, name) for name in selector.names))
--- a/granitepoint/routing/read.py
+++ b/granitepoint/routing/read.py
@@ -50,8 +50,11 @@
         types=fields.texts("types"),
         groups=tuple(groups or ()),
         names=fields.texts("names"),
+        statuses=fields.texts("statuses"),
         least_weight=fields.number("least_weight", 0.0, 0.0, 1e6),
     )
+    if not set(selector.statuses) <= {"Ready", "Terminating"}:
+        fields.wrong("statuses", "a list of Ready and Terminating")
     below = fields.number("spill_below", 0.5, 0.0, 1.0)
     pool = Pool(
         name=block.label,
--- a/tests/test_apps.py
+++ b/tests/test_apps.py
@@ -117,6 +117,7 @@
     ("R005", "shop.hcl", "  timeout_ms = 900", "@  timeout_ms = -1"),
     ("R005", "shop.hcl", 'zones = ["a", "b"]', '@zones = "a"'),
     ("R005", "shop.hcl", 'zones = ["a", "b"]', '@subset = 0'),
+    ("R005", "shop.hcl", 'zones = ["a", "b"]', '@statuses = ["ready"]'),
     ("R005", "front.hcl", "  attempts   = 2", "@  attempts   = 2.5"),
     ("R005", "front.hcl", '  effect     = "once"', '@  effect = "twice"'),
     ("R005", "shop.hcl", SHOP_ORDER, SHOP_ORDER + "@  budget_ms = [500, 100]\n"),
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -592,3 +592,21 @@
     actions = driver.arrive(1, budget=0.08)
     assert not sends(actions) and Refuse(1) not in actions
     assert len(sends(driver.wait(0.012))) == 1
+
+
+def test_a_route_lets_no_more_run_than_it_allows_and_what_never_ran_costs_nothing() -> None:
+    driver = Driver(settings(max_attempts=4))
+    first = only_send(driver.arrive(1, attempts=1))
+    (again,) = sends(driver.settle(first, Status.CONNECT_FAILED) + driver.wait(0.2), 1)
+    assert sends(driver.settle(again, Status.ERROR, 1) + driver.wait(1.0), 1) == []
+    free = Driver(settings(max_attempts=4))
+    assert sends(free.settle(only_send(free.arrive(1)), Status.ERROR) + free.wait(0.2), 1)
+
+
+def test_a_routes_time_ends_a_call_and_does_not_make_it_look_late() -> None:
+    driver = Driver(settings())
+    for call in range(60):  # the usual budget becomes known
+        driver.settle(only_send(driver.arrive(call, budget=2.0)), Status.OK)
+        driver.wait(0.05)
+    send = only_send(driver.arrive(99, budget=2.0, limit=0.15))
+    assert send.timeout < 0.151
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -64,13 +64,14 @@
 
 def test_a_selector_asks_all_that_it_names() -> None:
     one = Endpoint("pay-7", "north", "large", 3, "Ready", 0.5)
-    assert selects(Selector(("north",), ("large",), (3,), ("pay-*",), 0.5), one)
+    assert selects(Selector(("north",), ("large",), (3,), ("pay-*",), ("Ready",), 0.5), one)
     for other in (
         Selector(zones=("south",)),
         Selector(types=("small",)),
         Selector(groups=(4,)),
         Selector(names=("ray-*",)),
         Selector(least_weight=0.6),
+        Selector(statuses=("Terminating",)),
     ):
         assert not selects(other, one)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -269,3 +269,19 @@
     (theirs,) = blocks_of(text)
     assert {key: found.value for key, found in mine.attributes.items()} == theirs.values
     assert (mine.name, mine.label, mine.place.line) == (theirs.name, theirs.label, theirs.line)
+
+
+def test_five_thousand_routes_are_each_found_and_none_hides_another() -> None:
+    text = ['pool "p" {}']
+    for number in range(5000):
+        host = f'  host = "s{number % 50}.example"\n' if number % 2 else ""
+        kind = "regex" if number % 5 == 0 else "prefix"
+        tail = "/[0-9]+" if kind == "regex" else ""
+        match = f'{kind} = "/a{number % 40}/b{number}{tail}"'
+        text.append(f'route "r{number}" {{\n{host}  {match}\n  pool = "p"\n}}')
+    table = Table(read_text("\n".join(text), "f.hcl"))
+    assert check_table(table) == []
+    for number in range(0, 5000, 7):
+        won = table.find(Ask("GET", f"/a{number % 40}/b{number}/12", f"s{number % 50}.example"))
+        assert won is not None and won.route.name == f"r{number}"
+        assert len(list(table.any_host.near(f"/a{number % 40}/b{number}/12"))) <= 1
