--- a/granitepoint/rig/fleet.py
+++ b/granitepoint/rig/fleet.py
@@ -282,6 +282,7 @@
             for job in node.jobs.values():
                 job.run.outcome = "open"
                 self.book.put(job.run)
+            self.book.put(ledger.Sample(node.name, time.monotonic(), probes=node.probes))
             node.close()
         for discovery in self.discoveries:
             discovery.close()
