Test that mirrors are bounded, and that a reload keeps what is unchanged

Change: a test with a pool that never answers its mirrored copies, one of the modules across a reload, and one that a bad file is named once.

--- a/tests/test_routes_sockets.py
+++ b/tests/test_routes_sockets.py
@@ -12,8 +12,11 @@
 from typing import Any
 
 import pytest
-from netkit import PATIENCE, Backend, Discovery, Proxy, Seen, endpoint, proxy, response, run
+from netkit import PATIENCE, Backend, Discovery, Proxy, Seen, config, endpoint, proxy, response, run
 
+from granitepoint.net.config import load
+from granitepoint.net.features import RoutesSettings
+from granitepoint.net.routes import Pools
 from granitepoint.replay import differences
 
 POOLS = """
@@ -93,11 +96,11 @@
 
 @contextlib.asynccontextmanager
 async def routed(
-    tmp_path: Path, table: str, backends: dict[str, Backend], extra: str = "", **more: Any
+    tmp_path: Path, table: str, backends: dict[str, Backend], extra: str = "", mirrors: int = 64, **more: Any
 ) -> AsyncIterator[tuple[Proxy, Path]]:
     file = tmp_path / "routes.hcl"
     file.write_text(POOLS + table, encoding="utf-8")
-    features = f'routes {{\n  file = "{file}"\n  watch_ms = 50\n}}\n{extra}'
+    features = f'routes {{\n  file = "{file}"\n  watch_ms = 50\n  mirrors = {mirrors}\n}}\n{extra}'
     async with proxy(backends, features=features, **more) as node:
         yield node, file
 
@@ -228,9 +231,15 @@
             assert f"{file}:" in line
             await swap(table("nowhere"), "generation 2 goes on", "R201 route r: unknown pool nowhere")
             node.process.send_signal(signal.SIGHUP)  # the same bad file is not named again
+            asked = node.process.stderr
+            assert asked is not None
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    while b"routes:" not in await asked.readline():
+                        pass
             wide = table("south").replace("route", 'pool "wide" { names = ["s-*", "n-*"] }\nroute', 1)
             line = await swap(wide.replace('pool = "south"', 'pool = "wide"'), "routes:")
-            assert "generation 3" in line and "1 begun" in line
+            assert "generation 3" in line and "1 begun" in line, "a bad file is named once"
             await swap(table("south"), "generation 4", "1 ended")
             await asyncio.sleep(0.2)
             going = False
@@ -305,3 +314,43 @@
                 pass
 
     run(test())
+
+
+def test_mirrored_copies_are_bounded_and_nobody_waits_for_them(tmp_path: Path) -> None:
+    async def silent(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        pass
+
+    async def test() -> None:
+        north, south = named("north"), Backend(silent)
+        table = TABLE.replace('prefix = "/stock/mirrored"', 'prefix = "/stock/mirrored"\n  timeout_ms = 900')
+        async with routed(tmp_path, table, {"n-1": north, "s-1": south}, mirrors=2) as (node, _):
+            caller = await node.caller()
+            for number in range(12):
+                assert (await caller.raw(get("/stock/mirrored", f"{number:04x}"))).body == b"north"
+            assert 1 <= south.count <= 2
+            node.terminate()  # an open copy does not hold up the end
+            assert await node.code() == 0
+
+    run(test())
+
+
+def test_an_unchanged_pool_keeps_its_module_and_a_changed_one_begins_anew(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config("127.0.0.1:1", {}, "127.0.0.1:2")))
+    one = POOLS + 'route "r" {\n prefix = "/stock"\n pool = "south"\n}\n'
+    (tmp_path / "routes.hcl").write_text(one)
+
+    async def test() -> None:
+        settings = RoutesSettings(file=str(tmp_path / "routes.hcl"))
+        pools = Pools(settings, load({"EDGE_CONFIG": str(path)}))
+        before = {name: served.driver for name, served in pools.now.served.items()}
+        other = one.replace('names = ["n-*"]', 'names = ["m-*"]').replace('pool "none"', 'pool "nobody"')
+        (tmp_path / "routes.hcl").write_text(other)
+        await pools.reload()
+        after = {name: served.driver for name, served in pools.now.served.items()}
+        assert pools.now.number == 2 and set(after) == {"south", "north", "nobody"}
+        assert after["south"] is before["south"] and not before["south"].retired
+        assert after["north"] is not before["north"] and before["north"].retired and before["none"].retired
+        pools.stop()
+
+    run(test())
