Refuse a table whose splits or subsets need a library that is missing

Need: without xxhash a split was found out at its first request, as an internal error. Change: the table is refused when it is read, with file, line and what to install. Measured: the test of it fails without the check.

--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -40,7 +40,7 @@
 from granitepoint.routing.read import read_text
 from granitepoint.routing.reload import change
 from granitepoint.routing.source import digest_of
-from granitepoint.routing.split import first_pool, unit
+from granitepoint.routing.split import first_pool, hasher, unit
 
 log = logging.getLogger(__name__)
 
@@ -132,11 +132,26 @@
             if any(effects.get(name) is not api.Effect.REPEATABLE for name in classes):
                 what = f"route {route} mirrors a class that is not safe to repeat"
                 findings.append(Finding("R402", route.place, what))
+    findings += unhashed(description)
     if findings:
         raise RoutingError(findings)
     return table
 
 
+def unhashed(description: Description) -> list[Finding]:
+    """What needs a hash whose library is missing: told when the table is read, not at the first request."""
+    mirrors = [route.place for route in description.routes if route.mirror and route.mirror.share < 1]
+    places = mirrors + [route.place for route in description.routes if route.split is not None]
+    places += [pool.place for pool in description.pools if pool.subset]
+    try:
+        if places:
+            hasher()
+    except ModuleNotFoundError:
+        what = "splits, subsets and shares of mirrors need xxhash: pip install 'granitepoint[routes]'"
+        return [Finding("R008", place, what) for place in places]
+    return []
+
+
 def read_file(path: str) -> str:
     try:
         return Path(path).read_bytes().decode("utf-8")
--- a/tests/test_routes_sockets.py
+++ b/tests/test_routes_sockets.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import signal
+import sys
 from collections.abc import AsyncIterator
 from itertools import pairwise
 from pathlib import Path
@@ -16,8 +17,10 @@
 
 from granitepoint.net.config import load
 from granitepoint.net.features import RoutesSettings
-from granitepoint.net.routes import Pools
+from granitepoint.net.routes import Pools, prepared
 from granitepoint.replay import differences
+from granitepoint.routing.findings import RoutingError
+from granitepoint.routing.split import hasher
 
 POOLS = """
 pool "south" { names = ["s-*"] }
@@ -354,3 +357,16 @@
         pools.stop()
 
     run(test())
+
+
+def test_a_table_that_needs_a_missing_library_is_refused_when_it_is_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    text = 'pool "p" { subset = 3 }\nroute "r" { pool = "p" }\n'
+    prepared(text, "f.hcl", {})
+    hasher.cache_clear()
+    monkeypatch.setitem(sys.modules, "xxhash", None)
+    with pytest.raises(RoutingError, match="f.hcl:1:1: R008 .* need xxhash"):
+        prepared(text, "f.hcl", {})
+    monkeypatch.undo()
+    hasher.cache_clear()
