Test any course of reloads: each request answered once, by the table that took it

Need: the issue asks for it by hypothesis, and the test over sockets plays one course only. Change: a property over reloads, requests before and across them, and backends that refuse.

--- a/tests/test_routes_sockets.py
+++ b/tests/test_routes_sockets.py
@@ -7,16 +7,22 @@
 import json
 import signal
 import sys
+import tempfile
+import time
 from collections.abc import AsyncIterator
 from itertools import pairwise
 from pathlib import Path
 from typing import Any
 
 import pytest
-from netkit import PATIENCE, Backend, Discovery, Proxy, Seen, config, endpoint, proxy, response, run
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from netkit import PATIENCE, Backend, Discovery, Proxy, Seen, config, endpoint, listing, proxy, response, run
 
 from granitepoint.net.config import load
+from granitepoint.net.driver import OpenCall
 from granitepoint.net.features import RoutesSettings
+from granitepoint.net.request import read_request
 from granitepoint.net.routes import Pools, prepared
 from granitepoint.replay import differences
 from granitepoint.routing.findings import RoutingError
@@ -370,3 +376,66 @@
         prepared(text, "f.hcl", {})
     monkeypatch.undo()
     hasher.cache_clear()
+
+
+SIDES = st.sampled_from(["south", "north", "wide"])
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.lists(st.tuples(SIDES, st.integers(1, 4), st.booleans()), min_size=1, max_size=5))
+def test_any_course_of_reloads_answers_each_request_once_by_the_table_that_took_it(
+    steps: list[tuple[str, int, bool]],
+) -> None:
+    """Backends refuse every connection, so that each request has its answer soon. Requests that are read
+    before a change and opened after it stay with their own table."""
+    endpoints = [endpoint(name, "127.0.0.1:1") for name in ("s-1", "n-1")]
+
+    class Heard:
+        def __init__(self) -> None:
+            self.codes: list[int] = []
+
+        def answer(self, code: int, headers: Any, body: bytes) -> None:
+            self.codes.append(code)
+
+    def table(side: str) -> str:
+        names = '["s-*", "n-*"]' if side == "wide" else f'["{side[0]}-*"]'
+        return f'pool "p" {{ names = {names} }}\nroute "to-{side}" {{ pool = "p" }}\n'
+
+    async def course(folder: Path) -> None:
+        path, file = folder / "config.json", folder / "routes.hcl"
+        path.write_text(json.dumps(config("127.0.0.1:1", listing(1, *endpoints), "127.0.0.1:2")))
+        file.write_text(table("south"))
+        pools = Pools(RoutesSettings(file=str(file)), load({"EDGE_CONFIG": str(path)}))
+        pools.start()
+        heard: list[Heard] = []
+        side = "south"
+        for to, count, late in steps:
+            waiting = []
+            for _ in range(count):
+                id = f"{len(heard):x}".encode()
+                headers = [(b"x-call-id", id), (b"x-budget", b"600m")]
+                request = read_request(
+                    b"GET", b"/stock", headers, b"", time.monotonic(), pools.effects, pools.route
+                )
+                assert request.routed is not None and request.routed.route.name == f"to-{side}"
+                heard.append(Heard())
+                if late:
+                    waiting.append((request, heard[-1]))
+                else:
+                    pools.opened(request, heard[-1])
+            file.write_text(table(to))
+            await pools.reload()
+            side = to
+            for request, reply in waiting:
+                call = pools.opened(request, reply)
+                assert isinstance(call, OpenCall) and request.routed is not None
+                assert call.driver is request.routed.table["p"].driver
+        async with asyncio.timeout(PATIENCE):
+            while pools.calls:
+                await asyncio.sleep(0.02)
+        assert [len(one.codes) for one in heard] == [1] * len(heard)
+        assert all(one.codes[0] in (502, 503, 504) for one in heard)
+        pools.stop()
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(course(Path(folder)))
