Ask the routing package's own checks when a table is loaded

Need: reading the whole change again, the carrier repeated the checks of classes and mirrors, less exactly. Change: net/routes.py asks check_classes; a path of no known class is now refused when the table is loaded; the sink of mirrored answers takes no call-back that did nothing.

--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -9,7 +9,7 @@
 import dataclasses
 import logging
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -22,13 +22,14 @@
 from granitepoint.net.features import RoutesSettings
 from granitepoint.net.request import BadRequest, Headers, Request, Routed
 from granitepoint.net.server import Reply
-from granitepoint.routing.checks import tied
+from granitepoint.routing.checks import check_classes, tied
 from granitepoint.routing.findings import Finding, RoutingError
 from granitepoint.routing.matcher import Table
 from granitepoint.routing.model import (
     TENANT_HEADER,
     Answer,
     Ask,
+    ClassRule,
     Description,
     Endpoint,
     Pool,
@@ -64,11 +65,8 @@
 class Unheard:
     """Where a mirrored copy's answer goes."""
 
-    def __init__(self, ended: Callable[[], None]) -> None:
-        self.ended = ended
-
     def answer(self, code: int, headers: Any, body: bytes) -> None:
-        self.ended()
+        pass
 
 
 class Moving:
@@ -116,23 +114,17 @@
     looked_at: tuple[str, ...]  # headers
 
 
-def prepared(text: str, file: str, effects: Mapping[str, api.Effect]) -> Table:
+def prepared(text: str, file: str, classes: Sequence[api.RequestClass]) -> Table:
     """Text to a table that can be served; raises RoutingError."""
     description = read_text(text, file, ("expect",))
     table = Table(description)
-    findings = list(tied(table))
-    for route in description.routes:
-        named = [route.cls] if route.cls else []
-        for name in named + [name for match in route.matches for name in match.classes]:
-            if name not in effects:
-                findings.append(Finding("R202", route.place, f"route {route}: unknown class {name}"))
-        if route.mirror is not None:
-            first = {match.path.value[1:].partition("/")[0] for match in route.matches}
-            classes = set(named) or {name for name in first if name in effects} or set(effects)
-            if any(effects.get(name) is not api.Effect.REPEATABLE for name in classes):
-                what = f"route {route} mirrors a class that is not safe to repeat"
-                findings.append(Finding("R402", route.place, what))
-    findings += unhashed(description)
+    rules = {
+        cls.name: ClassRule(cls.name, cls.worth, cls.aim * 1000, cls.deadline * 1000, cls.effect.value)
+        for cls in classes
+    }
+    # A route's time and attempts are bounded when they are used; what they should be is the tool's to say.
+    found = [one for one in check_classes(description.routes, rules) if one.code in ("R202", "R402")]
+    findings = [*tied(table), *found, *unhashed(description)]
     if findings:
         raise RoutingError(findings)
     return table
@@ -182,7 +174,7 @@
         self._take(known)
         text = read_file(settings.file)
         try:
-            table = prepared(text, settings.file, self.effects)
+            table = prepared(text, settings.file, config.settings.classes)
         except RoutingError as fault:
             raise ConfigError(f"bad settings: {fault}") from None
         self.digest = digest_of(text)
@@ -235,7 +227,9 @@
             digest = digest_of(text)
             if digest in (self.digest, self.refused_digest):
                 return
-            table = await asyncio.to_thread(prepared, text, self.settings.file, self.effects)
+            table = await asyncio.to_thread(
+                prepared, text, self.settings.file, self.config.settings.classes
+            )
         except (ConfigError, RoutingError) as fault:
             if not digest or digest != self.refused_digest:
                 log.error("routes: generation %d goes on: %s", self.now.number, fault)
@@ -425,7 +419,7 @@
         if mirror.share < 1 and unit(routed.ask.call_id, "mirror") >= mirror.share:
             return
         copy = dataclasses.replace(request, id=b"")
-        call = target.driver.opened(copy, Unheard(lambda: None))
+        call = target.driver.opened(copy, Unheard())
         if call is not None:
             self.mirrored.add(call)
 
--- a/tests/test_routes_sockets.py
+++ b/tests/test_routes_sockets.py
@@ -369,11 +369,11 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     text = 'pool "p" { subset = 3 }\nroute "r" { pool = "p" }\n'
-    prepared(text, "f.hcl", {})
+    prepared(text, "f.hcl", [])
     hasher.cache_clear()
     monkeypatch.setitem(sys.modules, "xxhash", None)
     with pytest.raises(RoutingError, match="f.hcl:1:1: R008 .* need xxhash"):
-        prepared(text, "f.hcl", {})
+        prepared(text, "f.hcl", [])
     monkeypatch.undo()
     hasher.cache_clear()
 
