--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -18,8 +18,9 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 20_000  # how long a watch may wait: a call costs discovery work, and it serves all proxies
-PATIENCE = 4.0  # s beyond a call's own wait after which it has failed: calls wait in turn
+HOLD_SHARE = 0.25  # of the time within which the settings want a proxy to ask, that one watch may wait
+MOST_HOLD = 60.0  # s, the longest wait of a watch that the protocol knows
+PATIENCE = 1.5  # s beyond a call's own wait after which it has failed: at 2 s its news counts as told
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LARGEST = 8 << 20  # bytes of an answer
@@ -149,10 +150,14 @@
         self,
         at: Address,
         version: int | None,
+        must_ask_within: float,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
     ) -> None:
         self.at, self.version = at, version  # None: no list of this address is known; 0 is a version too
+        # A watch that discovery forgot looks like one with nothing to tell until its wait is over. So the
+        # wait is what a forgotten watch costs: with a long one a whole fleet sends to servers long gone.
+        self.hold = min(HOLD_SHARE * must_ask_within, MOST_HOLD)  # s
         self.on_list, self.on_failed = on_list, on_failed
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -186,9 +191,10 @@
         try:
             while True:
                 begun = loop.time()
-                since = "" if self.version is None else f"?from={self.version}&hold_ms={HOLD_MS}"
+                hold_ms = int(self.hold * 1000)
+                since = "" if self.version is None else f"?from={self.version}&hold_ms={hold_ms}"
                 target = "/v1/servers" + since
-                if not await self._ask(channel, target, HOLD_MS / 1000 + PATIENCE):
+                if not await self._ask(channel, target, self.hold + PATIENCE):
                     return
                 await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
         finally:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -119,7 +119,8 @@
     def _own_feed(self) -> Discovery:
         config, known = self.config, self.known(self.config)
         version = known.version if config.known else None
-        self.discovery = Discovery(config.discovery, version, self._on_list, self.list_failed)
+        within = config.settings.must_ask_within
+        self.discovery = Discovery(config.discovery, version, within, self._on_list, self.list_failed)
         self.upstreams.apply(known)
         if self.capture is not None:
             self.capture.listed(known)
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -168,9 +168,8 @@
         self.mirrored: set[OpenCall] = set()
         self.refused_digest = ""  # of the text that was found bad last
         known = Driver.known(config)
-        self.discovery = Discovery(
-            config.discovery, known.version if config.known else None, self._on_list, self._on_failed
-        )
+        version, within = known.version if config.known else None, config.settings.must_ask_within
+        self.discovery = Discovery(config.discovery, version, within, self._on_list, self._on_failed)
         self._take(known)
         text = read_file(settings.file)
         try:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -120,9 +120,10 @@
 
 
 class Discovery:
-    """Tells the list at once, then each change as it is put."""
+    """Tells each change as it is put, and that there was none when a watch's wait ends."""
 
     def __init__(self) -> None:
+        self.silent = 0  # calls that are never answered
         self.changes: asyncio.Queue[bytes] = asyncio.Queue()
         self.asked: asyncio.Queue[str] = asyncio.Queue()
         self.address = ""
@@ -138,10 +139,22 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 line, _, _ = await read_message(reader)
-                self.asked.put_nowait(line.split(" ")[1])
-                writer.write(await self.changes.get())
+                target = line.split(" ")[1]
+                self.asked.put_nowait(target)
+                if self.silent:
+                    self.silent -= 1
+                    await reader.read()  # until the proxy gives up
+                    break
+                writer.write(await self._answer(target))
         writer.close()
 
+    async def _answer(self, target: str) -> bytes:
+        query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
+        wait = int(query["hold_ms"]) / 1000 if query else None
+        with contextlib.suppress(TimeoutError):
+            return await asyncio.wait_for(self.changes.get(), wait)
+        return response(200, json.dumps(listing(int(query["from"]), snapshot=False)).encode())
+
     def put(self, index: int, *endpoints: dict[str, Any], snapshot: bool = False) -> None:
         told = json.dumps(listing(index, *endpoints, snapshot=snapshot))
         self.changes.put_nowait(response(200, told.encode()))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -286,6 +286,27 @@
     run(test())
 
 
+def test_a_watch_that_discovery_forgot_is_given_up_when_its_own_wait_is_over() -> None:
+    """A silent watch looks like one with nothing to tell: the change is learned by the next call."""
+
+    async def test() -> None:
+        discovery = await Discovery().start()
+        discovery.silent = 1
+        one, two = Backend(), await Backend().start()
+        contract = {**SETTINGS["contract"], "must_ask_in": 2.0}
+        async with proxy({"s-1": one}, discovery, contract=contract) as node:
+            async with asyncio.timeout(PATIENCE / 2):
+                assert await discovery.asked.get() == "/v1/servers?from=1&hold_ms=500"
+                discovery.put(2, endpoint("s-1", one.address, "Terminating"), endpoint("s-2", two.address))
+                assert await discovery.asked.get() == "/v1/servers?from=1&hold_ms=500"
+                assert (await discovery.asked.get()).startswith("/v1/servers?from=2&")  # the list is taken
+            assert (await (await node.caller()).call("canje", "1" * 16)).code == 200
+        assert (one.count, two.count) == (0, 1)
+        await two.stop()
+
+    run(test())
+
+
 def test_a_list_of_version_0_is_watched_and_not_asked_for_again_and_again() -> None:
     async def test() -> None:
         discovery = await Discovery().start()
@@ -417,7 +438,7 @@
                 node = Proxy(process, address(listen))
                 await until_ready(node.address)
                 async with asyncio.timeout(PATIENCE):
-                    assert await old.asked.get() == "/v1/servers?from=7&hold_ms=20000"
+                    assert await old.asked.get() == "/v1/servers?from=7&hold_ms=2500"
                     file = Path(folder) / "config.json"
                     file.write_text("{", encoding="utf-8")  # can't be used: nothing changes
                     process.send_signal(signal.SIGHUP)
@@ -426,7 +447,7 @@
                     process.send_signal(signal.SIGHUP)
                     assert await new.asked.get() == "/v1/servers"
                     new.put(3, endpoint("s-2", second.address), snapshot=True)
-                    assert await new.asked.get() == "/v1/servers?from=3&hold_ms=20000"
+                    assert await new.asked.get() == "/v1/servers?from=3&hold_ms=2500"
                 assert (await (await node.caller()).call("stock", "2" * 16)).code == 200
                 assert (first.count, second.count) == (1, 1)
             finally:
