--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -622,9 +622,18 @@
     driver.wait(0.1)
 
 
+def with_one_warm_of_four(balancers: int) -> Driver:
+    """W is 12, learned on four servers; three of them have just been replaced."""
+    driver = Driver(settings(balancers=balancers), servers=entries(1, 2, 3, 4))
+    driver.wait(0.1)
+    driver.balancer.admission.window = 12.0
+    replaced(driver, 2, 3, 4)
+    return driver
+
+
 def test_what_was_learned_on_all_servers_does_not_fill_the_few_that_are_left() -> None:
     # Found on join+vast: six in ten were replaced within 7 s, seven instances each kept the W that they had
-    # learned on all ten, and the warm ones held up to 25 calls each until time-outs closed W for good.
+    # learned on all ten, and the warm ones held up to 22 calls each until time-outs closed W for good.
     listed = entries(*range(1, 11))
     instances = [Driver(settings(me=me, balancers=12), seed=me, servers=listed) for me in range(12)]
     held = dict.fromkeys(range(1, 11), 0)
@@ -640,11 +649,8 @@
 
 
 def test_w_is_back_when_the_new_servers_are_warm() -> None:
-    driver = Driver(settings(balancers=8), servers=entries(1, 2, 3, 4))
-    driver.wait(0.1)
+    driver = with_one_warm_of_four(balancers=8)
     part = driver.balancer.admission
-    part.window = 12.0
-    replaced(driver, 2, 3, 4)
     assert part.limit == pytest.approx(12 * (1 + 3 * 0.3) / 4, rel=0.1)
     driver.wait(11.0)  # cold_for is 10 s
     assert part.limit == pytest.approx(12.0)
@@ -652,11 +658,7 @@
 
 def test_w_is_not_scaled_below_what_crowds_the_servers_left() -> None:
     # Where instances are few, each may fill what is left until it is crowded: four calls a unit of weight.
-    driver = Driver(settings(balancers=1), servers=entries(1, 2, 3, 4))
-    driver.wait(0.1)
-    part = driver.balancer.admission
-    part.window = 12.0
-    replaced(driver, 2, 3, 4)
+    part = with_one_warm_of_four(balancers=1).balancer.admission
     assert part.limit == pytest.approx(4 * (1 + 3 * 0.3), rel=0.1)
     part.window = 5.0  # learned lower, it stays lower
     assert part.limit == 5.0
