Answer operators' calls, drain on LAMEDUCK, and let a new process replace the old

Change: a listener of the operators' own on its own thread, one ledger of requests and attempts, a life-cycle table that /healthz, PING, door and exit follow, SO_REUSEPORT with a filter that leads new connections to the newest process, and a queue that is emptied before its listener closes.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -677,6 +677,10 @@
         return True
 
     # health
+    def avoided(self) -> list[Server]:
+        """Servers that get no calls for what was seen of them; may be asked from another thread."""
+        return [server for server in list(self.known.values()) if server.ejected_until]
+
     def eject(self, server: Server, now: float, hard: bool) -> bool:
         if server.ejected_until:
             return False
--- /dev/null
+++ b/granitepoint/net/admin.py
@@ -0,0 +1,141 @@
+"""The operators' own listener, on a thread of its own: it answers however busy the serving loop is."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import os
+import select
+import socket
+import threading
+import time
+
+from granitepoint.net.config import Address, ConfigError
+from granitepoint.operators.calls import Line, Operators
+
+log = logging.getLogger(__name__)
+
+MOST = 32  # connections at once, and so descriptors; beyond it the one that came first gives way
+HOLD = 5.0  # s that a caller may take for its line and for its answer
+LOOK = 0.5  # s between looks for those that took longer
+READ = 4096  # bytes at a time
+PAUSE = 0.05  # s without accepting once it failed
+
+
+class Caller:
+    __slots__ = ("came", "line", "reply", "sock")
+
+    def __init__(self, sock: socket.socket, came: float) -> None:
+        self.sock, self.came = sock, came
+        self.line = Line()
+        self.reply: bytes | None = None
+
+
+class Admin:
+    """Binds at once, and raises ConfigError where it can't; answers once it is started."""
+
+    def __init__(self, at: Address, most: int = MOST) -> None:
+        self.most = most
+        family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
+        self.listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        try:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.listener.bind(at)
+            self.listener.listen(64)
+        except OSError as fault:
+            self.listener.close()
+            why = fault.strerror or fault
+            raise ConfigError(f"bad configuration: admin_addr {at[0]}:{at[1]}: {why}") from None
+        self.listener.setblocking(False)
+        self.callers: dict[int, Caller] = {}  # by descriptor, the oldest first
+        self.poll = select.poll()
+        self.end, self.wake = os.pipe()
+        self.accepting = True
+        self.thread: threading.Thread | None = None
+
+    def start(self, operators: Operators) -> None:
+        self.operators = operators
+        self.thread = threading.Thread(target=self._run, name="admin", daemon=True)
+        self.thread.start()
+
+    def close(self) -> None:
+        os.close(self.wake)
+        if self.thread is not None:
+            self.thread.join(1.0)
+
+    def _run(self) -> None:
+        self.poll.register(self.listener, select.POLLIN)
+        self.poll.register(self.end, select.POLLIN | select.POLLHUP)
+        resume = look = 0.0
+        while True:
+            ready = self.poll.poll(LOOK * 1000 if self.accepting else PAUSE * 1000)
+            now = time.monotonic()
+            if not self.accepting and now >= resume:
+                self.accepting = True
+                self.poll.register(self.listener, select.POLLIN)
+            for descriptor, _ in ready:
+                if descriptor == self.end:
+                    self.listener.close()
+                    return
+                if descriptor == self.listener.fileno():
+                    if not self._accept(now):
+                        self.accepting, resume = False, now + PAUSE
+                        self.poll.unregister(self.listener)
+                elif descriptor in self.callers:
+                    try:
+                        self._serve(self.callers[descriptor])
+                    except OSError:
+                        self._drop(descriptor)
+                    except Exception:
+                        log.exception("an operators' call failed")
+                        self._drop(descriptor)
+            if now >= look:
+                look = now + LOOK
+                for descriptor, caller in list(self.callers.items()):
+                    if caller.came < now - HOLD:
+                        self._drop(descriptor)
+
+    def _accept(self, now: float) -> bool:
+        """False: there is no descriptor for it, even after the oldest caller gave way."""
+        while True:
+            if len(self.callers) >= self.most:
+                self._drop(next(iter(self.callers)))
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return True
+            except OSError as fault:
+                if self.callers:
+                    self._drop(next(iter(self.callers)))
+                    continue
+                log.warning("an operators' connection could not be accepted: %s", fault)
+                return False
+            sock.setblocking(False)
+            self.callers[sock.fileno()] = Caller(sock, now)
+            self.poll.register(sock, select.POLLIN)
+
+    def _drop(self, descriptor: int) -> None:
+        caller = self.callers.pop(descriptor)
+        self.poll.unregister(descriptor)
+        caller.sock.close()
+
+    def _serve(self, caller: Caller) -> None:
+        descriptor = caller.sock.fileno()
+        if caller.reply is None or caller.reply == b"":
+            data = caller.sock.recv(READ)
+            if caller.reply is not None:  # after the answer: a close on unread bytes could take it away
+                if not data:
+                    self._drop(descriptor)
+                return
+            line = caller.line.feed(data) if data else caller.line.ended()
+            if line is None:
+                if not data:
+                    self._drop(descriptor)
+                return
+            caller.reply = self.operators.answer(line, caller.line.too_long)
+            self.poll.modify(descriptor, select.POLLOUT)
+        with contextlib.suppress(BlockingIOError):
+            caller.reply = caller.reply[caller.sock.send(caller.reply) :]
+        if not caller.reply:
+            caller.sock.shutdown(socket.SHUT_WR)
+            self.poll.modify(descriptor, select.POLLIN)
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -29,6 +29,7 @@
     known: Mapping[str, Any]  # the list of backends as last held, in discovery's form
     settings: Settings
     raw_settings: Mapping[str, Any] = field(default_factory=dict)  # as the file holds them
+    admin: Address | None = None  # where operators call; None: nowhere
 
 
 def address(text: object) -> Address:
@@ -104,6 +105,7 @@
         sockets = min(int(limits.get("sockets", soft)), soft)
         if sockets < 64:
             raise ValueError(f"too few sockets: {sockets}")
+        admin = environ.get("EDGE_ADMIN_ADDR") or raw.get("admin_addr")
         return Config(
             name=environ.get("EDGE_NAME") or str(raw.get("name", "")),
             listen=address(environ.get("EDGE_LISTEN") or raw.get("listen")),
@@ -113,6 +115,7 @@
             known=known,
             settings=read_settings(flatten(raw["settings"])),
             raw_settings=raw["settings"],
+            admin=address(admin) if admin else None,
         )
     except (OSError, ValueError, TypeError, AttributeError) as fault:
         raise _fault(fault) from None
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -159,6 +159,7 @@
         # wait is what a forgotten watch costs: with a long one a whole fleet sends to servers long gone.
         self.hold = min(HOLD_SHARE * must_ask_within, MOST_HOLD)  # s
         self.on_list, self.on_failed = on_list, on_failed
+        self.heard = asyncio.Event()  # has a list come
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
@@ -218,5 +219,6 @@
             self.on_failed()
             return False
         self.version = listing.version
+        self.heard.set()
         self.on_list(listing)
         return True
--- /dev/null
+++ b/granitepoint/net/drain.py
@@ -0,0 +1,72 @@
+"""How the callers' connections end when the proxy is to be lame or to leave."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from granitepoint.net.server import Server
+from granitepoint.operators.lifecycle import State
+
+STILL_COMING = 0.45  # s in which all is served as before, while the front takes notice
+LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
+STEP = 0.01  # s between looks whether all is answered
+LAME_STEP = 0.1  # s between looks at connections that came while lame
+UNUSED = 1.0  # s for which a connection that came while lame may say nothing
+LAST_BYTES = 1.0  # s for the last answers to be taken
+
+
+class Drain:
+    """Follows the life-cycle: lame and back, or out. `owed` tells how many answers are still to be given."""
+
+    def __init__(self, server: Server, owed: Callable[[], int]) -> None:
+        self.server, self.owed = server, owed
+        self.lame: asyncio.Task[None] | None = None
+
+    def told(self, state: State) -> None:
+        """From whichever thread the change came."""
+        self.server.loop.call_soon_threadsafe(self.follow, state)
+
+    def follow(self, state: State) -> None:
+        if state is State.LAME and self.lame is None:
+            self.lame = self.server.loop.create_task(self._lame())
+        elif state is State.READY or state is State.STARTING:
+            self._stop()
+            self.server.draining = False
+
+    def _stop(self) -> None:
+        if self.lame is not None:
+            self.lame.cancel()
+            self.lame = None
+
+    async def _lame(self) -> None:
+        """The process stays and its listener too: the front may still send, and a drain may be called off."""
+        await asyncio.sleep(STILL_COMING)
+        self.server.draining = True
+        self.server.close_idle()
+        while True:
+            await asyncio.sleep(LAME_STEP)
+            self.server.close_idle(time.monotonic() - UNUSED)
+
+    async def leave(self) -> None:
+        """Callers go on using a connection that stays open, and lose what is unanswered at the end: so each
+        answer closes its own, then the rest close, and the process ends when nothing is owed any more."""
+        self._stop()
+        server = self.server
+        if not server.draining:
+            await asyncio.sleep(STILL_COMING)
+        server.draining = True
+        server.close_idle()
+        await asyncio.sleep(LAST_ACCEPT - STILL_COMING)
+        server.stop_listening()
+        while self.owed():
+            server.close_idle(partial=True)
+            await asyncio.sleep(STEP)
+        # All is answered; the last bytes may still be on their way to a slow peer.
+        server.close_idle(partial=True)
+        for _ in range(int(LAST_BYTES / STEP)):
+            if not server.connections:
+                return
+            await asyncio.sleep(STEP)
+        server.abort()
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -11,6 +11,7 @@
 import time
 import zlib
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from typing import Any, Protocol
 
 from granitepoint import interface as api
@@ -22,6 +23,8 @@
 from granitepoint.net.request import Request
 from granitepoint.net.server import Reply
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
+from granitepoint.operators.calls import Backends
+from granitepoint.operators.ledger import Ledger
 
 log = logging.getLogger(__name__)
 
@@ -60,9 +63,16 @@
         settings = config.settings
         most_open = config.sockets * 2 // 5
         self.upstreams = Upstreams(settings.connect_timeout, settings.conn_idle, most_open)
+        self.ledger = Ledger(cls.name for cls in settings.classes)
         self.ids: set[bytes] = set()  # of the calls in the tables, and of attempts still out
         self.calls_taken = 0
 
+    def backends(self, avoided: AbstractSet[int]) -> Backends:
+        """For operators; asked from their thread."""
+        listed = list(self.upstreams.by_id.items())
+        skipped = sum(1 for server, upstream in listed if not upstream.serving or server in avoided)
+        return Backends(len(listed), skipped)
+
 
 class Feed(Protocol):
     """Where a pool's lists come from, when not from a discovery of its own."""
@@ -210,6 +220,9 @@
     def ready(self) -> bool:
         return self.upstreams.ready
 
+    def listed_backends(self) -> Backends:
+        return self.desk.backends({server.id for server in self.balancer.servers.avoided()})
+
     def opened(self, request: Request, reply: Reply) -> OpenCall | None:
         if request.id and request.id in self.ids:
             # An earlier one of this name is still out, and a second copy could run beside it.
@@ -316,7 +329,9 @@
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
-        exchange = Exchange(upstream, head + request.body, max(0.0, timeout), may_start, done)
+        exchange = Exchange(
+            upstream, head + request.body, max(0.0, timeout), may_start, done, self.desk.ledger.tried
+        )
         call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
 
--- /dev/null
+++ b/granitepoint/net/listener.py
@@ -0,0 +1,78 @@
+"""A listening socket that an older and a newer process of one proxy share, so that one replaces the other."""
+
+from __future__ import annotations
+
+import contextlib
+import ctypes
+import errno
+import logging
+import socket
+import struct
+import sys
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+ATTACH_FILTER = getattr(socket, "SO_ATTACH_REUSEPORT_CBPF", 51)  # asm-generic/socket.h
+RETURN = 0x06  # BPF_RET | BPF_K
+NEWEST = 1  # the kernel numbers the sockets of an address as they began to listen; an older one leaves 0 free
+HUNGER = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+def family_of(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
+def taken(host: str, port: int) -> bool:
+    """Whether some process listens there: an older one of this proxy. It is not disturbed by the look."""
+    if not port:
+        return False
+    with socket.socket(family_of(host), socket.SOCK_STREAM) as look:
+        look.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            look.bind((host, port))
+        except OSError as fault:
+            return fault.errno == errno.EADDRINUSE
+    return False
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Raises OSError. An address that a process of another kind holds is in use as ever."""
+    sock = socket.socket(family_of(host), socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):  # where there is no such thing, the process can't be replaced
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    lead(sock)
+    return sock
+
+
+def lead(sock: socket.socket) -> bool:
+    """From here on the kernel gives each new connection to the newest socket of this address. The older one's
+    queue gets nothing more, so that it can be emptied and closed without a reset. Where only one listens, the
+    number names none, and the kernel falls back to its hash."""
+    if sys.platform != "linux":
+        return False
+    code = ctypes.create_string_buffer(struct.pack("HBBI", RETURN, 0, 0, NEWEST))
+    program = struct.pack("HP", 1, ctypes.addressof(code))
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, program)
+    except OSError as fault:
+        log.info("connections are not led to the newest process: %s", fault)
+        return False
+    return True
+
+
+def waiting(sock: socket.socket) -> list[socket.socket]:
+    """The connections that came and were not accepted yet; the listener may be closed after it."""
+    found = []
+    with contextlib.suppress(OSError):
+        while True:
+            found.append(sock.accept()[0])
+    return found
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -22,6 +22,7 @@
 from granitepoint.net.features import RoutesSettings
 from granitepoint.net.request import BadRequest, Headers, Request, Routed
 from granitepoint.net.server import Reply
+from granitepoint.operators.calls import Backends
 from granitepoint.routing.checks import check_classes, tied
 from granitepoint.routing.findings import Finding, RoutingError
 from granitepoint.routing.matcher import Table
@@ -307,8 +308,7 @@
 
     def _ejected(self, driver: Driver) -> frozenset[str]:
         """Backends that the pool's module has taken out of use."""
-        known = driver.balancer.servers.known
-        out = {server.id for server in known.values() if server.ejected_until}
+        out = {server.id for server in driver.balancer.servers.avoided()}
         if not out:
             return frozenset()
         return frozenset(name for name, listed in self.backends.items() if listed.entry.server in out)
@@ -341,6 +341,12 @@
         open_ones = sum(len(one.driver.calls) for one in self._every())
         return open_ones - sum(call.open for call in self.mirrored)
 
+    def listed_backends(self) -> Backends:
+        """A backend that any pool avoids counts as skipped."""
+        drivers = [one.driver for one in list(self.now.served.values())]
+        avoided = {server.id for driver in drivers for server in driver.balancer.servers.avoided()}
+        return self.desk.backends(avoided)
+
     def ready(self) -> bool:
         return self.desk.upstreams.ready
 
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -13,25 +13,29 @@
 import uvloop
 
 from granitepoint.net import features as settings_file
+from granitepoint.net import listener
 from granitepoint.net.access import AccessLog
 from granitepoint.net.addresses import Addresses
+from granitepoint.net.admin import Admin
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError, discovery_now, load
+from granitepoint.net.drain import Drain
 from granitepoint.net.driver import Driver
 from granitepoint.net.features import Features, RoutesSettings
 from granitepoint.net.figures import Figures
-from granitepoint.net.server import Server, Watcher
+from granitepoint.net.server import Asked, Server
 from granitepoint.net.tls import Tls
 from granitepoint.net.writer import LOG_BYTES, LogHandler, Writer, to_descriptor
+from granitepoint.operators.calls import Operators
+from granitepoint.operators.ledger import Watcher
+from granitepoint.operators.lifecycle import Event, Lifecycle, State
 
 if TYPE_CHECKING:
     from granitepoint.net.routes import Pools
 
-STILL_COMING = 0.45  # s after SIGTERM in which all is served as before, while the front takes notice
-LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener and the idle connections close
-DRAIN_STEP = 0.01  # s between looks whether all is answered
-LAST_BYTES = 1.0  # s for the last answers to be taken
 LAST_LINES = 0.5  # s for each target of figures or logs to take what is held at the end
+LOOK = 0.02  # s between looks whether a backend has said anything
+NEWS = 3.0  # s that a process which replaces another waits for discovery's list and a backend's first word
 CLIENT_SHARE = 0.5  # of the descriptors, for callers' connections; the upstreams' bound is in the driver
 
 log = logging.getLogger(__name__)
@@ -55,24 +59,20 @@
     return Pools(settings, config, capture)
 
 
-async def drain(server: Server, driver: Driver | Pools) -> None:
-    """Callers go on using a connection that stays open, and lose what is unanswered at the end: so each
-    answer closes its own, then the rest close, and the process ends when nothing is owed any more."""
-    await asyncio.sleep(STILL_COMING)
-    server.draining = True
-    server.close_idle()
-    await asyncio.sleep(LAST_ACCEPT - STILL_COMING)
-    server.stop_listening()
-    while driver.calls:
-        server.close_idle(partial=True)
-        await asyncio.sleep(DRAIN_STEP)
-    # All is answered; the last bytes may still be on their way to a slow peer.
-    server.close_idle(partial=True)
-    for _ in range(int(LAST_BYTES / DRAIN_STEP)):
-        if not server.connections:
-            return
-        await asyncio.sleep(DRAIN_STEP)
-    server.abort()
+async def informed(driver: Driver | Pools, term: asyncio.Event) -> None:
+    """The older process serves meanwhile, so this one can wait until it knows what discovery tells now and
+    has heard from a backend. If neither speaks in time, it serves as it would alone."""
+
+    async def news() -> None:
+        await driver.discovery.heard.wait()
+        while not driver.desk.upstreams.heard:
+            await asyncio.sleep(LOOK)
+
+    driver.discovery.fetch()
+    waits = [asyncio.ensure_future(news()), asyncio.ensure_future(term.wait())]
+    await asyncio.wait(waits, timeout=NEWS, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
 
 
 async def serve(config: Config, features: Features) -> None:
@@ -84,12 +84,20 @@
     if capture is not None:
         loop.add_signal_handler(signal.SIGUSR2, capture.dump)
     running: list[asyncio.Task[None]] = []
+    admin = Admin(config.admin) if config.admin is not None else None
+    replaces = listener.taken(*config.listen)
     driver: Driver | Pools = Driver(config, capture) if features.routes is None else pools(
         features.routes, config, capture
     )
     loop.add_signal_handler(signal.SIGHUP, reconfigure, driver, running)
-    server = Server(driver.effects, driver, int(config.sockets * CLIENT_SHARE))
-    watchers: list[Watcher] = []
+    life, ledger = Lifecycle(), driver.desk.ledger
+    server = Server(
+        driver.effects, driver, int(config.sockets * CLIENT_SHARE), ledger,
+        lambda: life.state is State.READY and driver.ready(),
+    )  # fmt: skip
+    draining = Drain(server, lambda: len(driver.calls) if isinstance(driver, Driver) else driver.calls)
+    life.changed = draining.told
+    watchers: list[Watcher[Asked]] = []
     figures = Figures(features.figures, config.settings) if features.figures is not None else None
     if figures is not None:
         watchers.append(figures)
@@ -100,6 +108,10 @@
         watchers.append(AccessLog())
     server.watchers = tuple(watchers)
     driver.start()
+    if admin is not None:
+        admin.start(Operators(life, ledger, driver.ready, driver.listed_backends))
+    if replaces:
+        await informed(driver, term)
     await server.listen(*config.listen)
     if figures is not None:
         running.append(loop.create_task(figures.run()))
@@ -113,9 +125,13 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)
+    life.on(Event.ABLE)
     await term.wait()
-    await drain(server, driver)
+    life.on(Event.TERMINATE)
+    await draining.leave()
     driver.stop()
+    if admin is not None:
+        admin.close()
     for task in running:
         task.cancel()
     if figures is not None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -9,15 +9,17 @@
 import ssl
 import time
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol, cast
 
 import httptools
 
 from granitepoint.interface import Effect
+from granitepoint.net import listener
 from granitepoint.net.request import BadRequest, Request, Router, class_of, read_request
 from granitepoint.net.tls import reason, subject
+from granitepoint.operators.ledger import Ledger, Watcher
 
 log = logging.getLogger(__name__)
 
@@ -67,14 +69,6 @@
     peer: Peer | None = None
 
 
-class Watcher(Protocol):
-    """What a feature is told of each request: its turn has come; its end (None: the caller left)."""
-
-    def begun(self, asked: Asked) -> None: ...
-
-    def ended(self, asked: Asked, code: int | None) -> None: ...
-
-
 class Reply(Protocol):
     """Where a call's answer goes."""
 
@@ -104,8 +98,6 @@
 
     def left(self, call: Any) -> None: ...
 
-    def ready(self) -> bool: ...
-
 
 class ClientConnection(asyncio.Protocol):
     """One caller's connection: requests one after another, each with exactly one answer."""
@@ -122,6 +114,7 @@
         self.begun_at = begun_at  # since when a request is awaited whole; None: nothing is owed
         self.waiting: deque[tuple[Request | BadRequest | None, bool, Asked | None]] = deque()
         self.asked: Asked | None = None  # the open request, where a feature watches
+        self.cls = ""  # of the open request; empty: it is none that is counted
         self.call: object | None = None
         self.answering = False  # a request is open
         self.keep_alive = True
@@ -142,7 +135,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.closing = True
-        self.waiting.clear()
+        self._forget()
         self.server.connections.discard(self)
         self._ended(None)
         call, self.call = self.call, None
@@ -239,6 +232,8 @@
                 )  # fmt: skip
             except BadRequest as bad:
                 request = bad
+            else:
+                self.server.ledger.taken()
         asked = self._asked() if request is not None else None
         self.headers, self.body = [], []
         self.waiting.append((request, keep_alive, asked))
@@ -262,7 +257,17 @@
             peer=self.peer,
         )
 
+    def _forget(self) -> None:
+        """What waits behind the open request is not answered any more."""
+        for request, _, _ in self.waiting:
+            if isinstance(request, Request):
+                self.server.ledger.ended(request.cls, None)
+        self.waiting.clear()
+
     def _ended(self, code: int | None) -> None:
+        if self.cls:
+            self.server.ledger.ended(self.cls, code)
+            self.cls = ""
         asked, self.asked = self.asked, None
         if asked is not None:
             for watcher in self.server.watchers:
@@ -273,6 +278,7 @@
         while self.waiting and not self.answering and self.transport is not None:
             request, self.keep_alive, self.asked = self.waiting.popleft()
             self.answering = True
+            self.cls = request.cls if isinstance(request, Request) else ""
             if self.asked is not None:
                 for watcher in self.server.watchers:
                     watcher.begun(self.asked)
@@ -280,7 +286,7 @@
                 self.keep_alive = False
                 self.answer(403, NO_HEADERS, b"this address is not admitted\n")
             elif request is None:
-                ready = self.server.handler.ready()
+                ready = self.server.ready()
                 self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
             elif isinstance(request, BadRequest):
                 self.answer(request.code, request.headers, f"{request}\n".encode())
@@ -320,13 +326,13 @@
         if last and self.closing:
             # The peer may still be sending. Closing on unread bytes resets the connection, which can take
             # the answer with it: first only this side ends.
-            self.waiting.clear()
+            self._forget()
             if transport.can_write_eof():  # TLS has no such half end; there the answer's length tells it
                 transport.write_eof()
             self.server.loop.call_later(LINGER, transport.abort)
         elif last:
             self.closing = True
-            self.waiting.clear()
+            self._forget()
             transport.close()
         elif self.waiting:
             self.server.loop.call_soon(self._next)
@@ -350,15 +356,25 @@
 class Server:
     """The listener and the callers' connections."""
 
-    def __init__(self, effects: Mapping[str, Effect], handler: Handler, most_open: int) -> None:
+    def __init__(
+        self,
+        effects: Mapping[str, Effect],
+        handler: Handler,
+        most_open: int,
+        ledger: Ledger,
+        ready: Callable[[], bool],
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.effects, self.handler, self.most_open = effects, handler, most_open
+        self.ledger, self.ready = ledger, ready
         self.connections: set[ClientConnection] = set()
         self.draining = False  # each answer is the last on its connection
         self.listener: asyncio.Server | None = None
-        self.accepting: dict[socket.socket, asyncio.Task[None]] = {}  # listeners whose connections are met
+        self.queue: socket.socket | None = None  # the listener's, to be emptied once that is closed
+        # Listeners whose connections are met first.
+        self.accepting: dict[socket.socket, tuple[asyncio.Task[None], Certificates | None]] = {}
         self.entering: dict[asyncio.Task[None], None] = {}  # the oldest first
-        self.watchers: tuple[Watcher, ...] = ()
+        self.watchers: tuple[Watcher[Asked], ...] = ()
         self.door: Door | None = None
         self.router: Router | None = None
 
@@ -379,8 +395,10 @@
         if self.door is not None:
             self._accept(host, port, None)
         else:
+            sock = listener.listen(host, port)
+            self.queue = sock.dup()
             self.listener = await self.loop.create_server(
-                lambda: ClientConnection(self), host, port, backlog=1024
+                lambda: ClientConnection(self), sock=sock, backlog=listener.BACKLOG
             )
         self.loop.call_later(SWEEP, self._sweep)
 
@@ -388,24 +406,25 @@
         self._accept(host, port, certificates)
 
     def _accept(self, host: str, port: int, certificates: Certificates | None) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family, backlog=1024)
-        listener.setblocking(False)
-        self.accepting[listener] = self.loop.create_task(self._accepting(listener, certificates))
+        door = listener.listen(host, port)
+        self.accepting[door] = self.loop.create_task(self._accepting(door, certificates)), certificates
 
-    async def _accepting(self, listener: socket.socket, certificates: Certificates | None) -> None:
+    async def _accepting(self, door: socket.socket, certificates: Certificates | None) -> None:
         while True:
             try:
-                sock, _ = await self.loop.sock_accept(listener)
+                sock, _ = await self.loop.sock_accept(door)
             except OSError as fault:
                 log.warning("a connection could not be accepted: %s", fault)
                 await asyncio.sleep(ACCEPT_PAUSE)
                 continue
-            if len(self.entering) >= max(1, int(self.most_open * ENTERING_SHARE)):
-                next(iter(self.entering)).cancel()  # it has said nothing for the longest
-            task = self.loop.create_task(self._enter(sock, certificates))
-            self.entering[task] = None
-            task.add_done_callback(self.entering.pop)
+            self._met(sock, certificates)
+
+    def _met(self, sock: socket.socket, certificates: Certificates | None) -> None:
+        if len(self.entering) >= max(1, int(self.most_open * ENTERING_SHARE)):
+            next(iter(self.entering)).cancel()  # it has said nothing for the longest
+        task = self.loop.create_task(self._enter(sock, certificates))
+        self.entering[task] = None
+        task.add_done_callback(self.entering.pop)
 
     async def _enter(self, sock: socket.socket, certificates: Certificates | None) -> None:
         """All that comes before HTTP, within the time of a first request."""
@@ -413,8 +432,10 @@
         handed_on = False
         told = "unknown"
         try:
-            peer = Peer(told_address(sock.getpeername()))
-            told = peer.client
+            peer: Peer | None = None
+            if self.door is not None or certificates is not None:
+                peer = Peer(told_address(sock.getpeername()))
+                told = peer.client
             if self.door is not None:
                 async with asyncio.timeout(FIRST_WHOLE):
                     peer = await self.door.meet(sock)
@@ -432,7 +453,8 @@
                 log.warning("connection closed: client=%s reason=%s", told, fault)
         except OSError as fault:
             if handed_on and certificates is not None:
-                log.warning("tls: handshake refused: %s reason=%s", peer.told(), reason(fault))
+                who = peer.told() if peer is not None else told
+                log.warning("tls: handshake refused: %s reason=%s", who, reason(fault))
             elif isinstance(fault, TimeoutError):
                 log.warning("connection closed: client=%s reason=nothing came in time", told)
         except Exception:
@@ -442,11 +464,21 @@
                 sock.close()
 
     def stop_listening(self) -> None:
-        if self.listener is not None:
+        """What the kernel has let in already is served: closing a listener resets what is in its queue."""
+        if self.listener is not None and self.queue is not None:
             self.listener.close()
-        for listener, task in self.accepting.items():
-            task.cancel()
-            listener.close()
+            for sock in listener.waiting(self.queue):
+                sock.setblocking(False)
+                task = self.loop.create_task(self._enter(sock, None))
+                self.entering[task] = None
+                task.add_done_callback(self.entering.pop)
+            self.queue.close()
+        for door, (accepting, certificates) in self.accepting.items():
+            accepting.cancel()
+            for sock in listener.waiting(door):
+                sock.setblocking(False)
+                self._met(sock, certificates)
+            door.close()
 
     def close_idle(self, unused_since: float = float("inf"), partial: bool = False) -> None:
         for connection in list(self.connections):
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -38,7 +38,7 @@
 
     __slots__ = (
         "body", "code", "connection", "done", "due", "elapsed", "headers", "loop", "may_start", "request",
-        "sent", "started_at", "status", "timer", "upstream",
+        "sent", "started_at", "status", "timer", "upstream", "written",
     )
 
     def __init__(
@@ -48,9 +48,10 @@
         timeout: float,
         may_start: Callable[[], bool],
         done: Callable[[Exchange], None],
+        written: Callable[[], None] | None = None,
     ) -> None:
         self.upstream, self.request = upstream, request
-        self.may_start, self.done = may_start, done
+        self.may_start, self.done, self.written = may_start, done, written
         self.loop = upstream.owner.loop
         self.started_at = time.monotonic()
         self.status: Status | None = None
@@ -203,6 +204,8 @@
         assert self.transport is not None
         self.exchange = exchange
         self.transport.write(exchange.request)
+        if exchange.written is not None:
+            exchange.written()
 
     def abandon(self) -> None:
         self.exchange = None
@@ -289,9 +292,13 @@
         """Descriptors in use or soon to be."""
         return self.made + len(self._connects)
 
+    @property
+    def heard(self) -> bool:
+        return any(upstream.heard_at for upstream in self.by_id.values())
+
     @property
     def ready(self) -> bool:
-        return any(upstream.serving for upstream in self.by_id.values())
+        return any(upstream.serving for upstream in list(self.by_id.values()))
 
     def apply(self, listing: Listing) -> None:
         named = set()
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -214,8 +214,19 @@
 class Proxy:
     """The program itself, as a process."""
 
-    def __init__(self, process: asyncio.subprocess.Process, address: tuple[str, int]) -> None:
-        self.process, self.address = process, address
+    def __init__(
+        self, process: asyncio.subprocess.Process, address: tuple[str, int], admin: str = ""
+    ) -> None:
+        self.process, self.address, self.admin = process, address, admin
+
+    async def operator(self, line: str) -> str:
+        """The answer to an operators' call, whole."""
+        return (await told(self.admin, line.encode() + b"\n")).decode()
+
+    async def figures(self) -> dict[str, int]:
+        lines = (await self.operator("INFO")).splitlines()
+        assert lines[0] == "SUCCESS" and lines[-1] == "EOT"
+        return {name: int(value) for name, _, value in (line.partition("=") for line in lines[1:-1])}
 
     async def caller(self, port: int | None = None, **how: Any) -> Caller:
         return Caller(*await asyncio.open_connection(self.address[0], port or self.address[1], **how))
@@ -239,6 +250,20 @@
             return await self.process.wait()
 
 
+async def told(address: str, *parts: bytes) -> bytes:
+    """What a listener answers to these bytes, each written by itself, until it closes."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(PATIENCE):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0)
+        reply = await reader.read()
+        writer.close()
+        return reply
+
+
 def free_port() -> int:
     return int(free_address().rpartition(":")[2])
 
@@ -252,7 +277,8 @@
 
 
 def config(discovery: str, known: dict[str, Any], listen: str, **changes: Any) -> dict[str, Any]:
-    limits = {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}
+    limits = {"cores": 1.0, "memory_mb": changes.pop("memory_mb", 192),
+              "sockets": changes.pop("sockets", 1024)}  # fmt: skip
     return {"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "limits": limits, "known": known, "settings": copy.deepcopy({**SETTINGS, **changes})}  # fmt: skip
 
@@ -282,27 +308,42 @@
             await asyncio.sleep(0.02)
 
 
+async def until_able(admin: str) -> None:
+    """Until a process says to operators that it is ready."""
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            with contextlib.suppress(OSError):
+                if (await told(admin, b"PING\n")).startswith(b"SUCCESS"):
+                    return
+            await asyncio.sleep(0.02)
+
+
 @contextlib.asynccontextmanager
 async def proxy(
     backends: dict[str, Backend], discovery: Discovery | None = None, features: str = "",
-    greeting: bytes = b"", **changes: Any,
+    greeting: bytes = b"", listen: str = "", **changes: Any,
 ) -> AsyncIterator[Proxy]:
     """A proxy before these backends, ready; ended by force if the test has not ended it. `features` is the
-    text of its settings file, `greeting` what a connection begins with there."""
+    text of its settings file, `greeting` what a connection begins with there. With `listen` it is one more
+    process on an address that a proxy has already."""
     own = discovery or await Discovery().start()
     for backend in backends.values():
         if not backend.address:
             await backend.start()
     known = listing(1, *(endpoint(name, backend.address) for name, backend in backends.items()))
-    listen = free_address()
+    another = bool(listen)
+    listen, admin = listen or free_address(), free_address()
     host, _, port = listen.rpartition(":")
     with tempfile.TemporaryDirectory() as folder:
         file = Path(folder) / "malabar.hcl"
         file.write_text(features, encoding="utf-8")
         arguments = ("-f", str(file)) if features else ()
-        process = await start_program(config(own.address, known, listen, **changes), folder, *arguments)
+        raw = config(own.address, known, listen, **changes)
+        process = await start_program(raw, folder, *arguments, EDGE_ADMIN_ADDR=admin)
         try:
-            ready = asyncio.create_task(until_ready((host, int(port)), greeting))
+            ready = asyncio.create_task(
+                until_able(admin) if another else until_ready((host, int(port)), greeting)
+            )
             ended = asyncio.create_task(process.wait())
             await asyncio.wait((ready, ended), return_when=asyncio.FIRST_COMPLETED)
             if ended.done():
@@ -311,7 +352,7 @@
                 raise AssertionError(f"the program ended: {(await process.stderr.read()).decode()}")
             ended.cancel()
             await ready
-            yield Proxy(process, (host, int(port)))
+            yield Proxy(process, (host, int(port)), admin)
         finally:
             if process.returncode is None:
                 process.kill()
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,129 @@
+"""The operators' calls, counts and life-cycle, without sockets."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from granitepoint.operators.calls import LONGEST, Backends, Line, Operators
+from granitepoint.operators.ledger import Ledger
+from granitepoint.operators.lifecycle import TABLE, Event, Lifecycle, Refused, State
+
+
+def operators(life: Lifecycle | None = None, able: bool = True) -> Operators:
+    return Operators(life or Lifecycle(), Ledger(["a", "b"]), lambda: able, lambda: Backends(5, 2))
+
+
+def ready() -> Lifecycle:
+    life = Lifecycle()
+    life.on(Event.ABLE)
+    return life
+
+
+def test_the_table_knows_every_event_in_every_state() -> None:
+    assert all(set(TABLE[state]) == set(Event) for state in State)
+
+
+@given(st.lists(st.sampled_from(Event)))
+def test_any_course_of_events_keeps_the_promises(events: list[Event]) -> None:
+    told: list[State] = []
+    life = Lifecycle(told.append)
+    able = lame = leaving = False
+    for event in events:
+        try:
+            after = life.on(event)
+        except Refused as fault:
+            assert event is Event.REJOIN and event.value in str(fault)
+            assert leaving or not (able or lame)
+            continue
+        able |= event is Event.ABLE
+        leaving |= event is Event.TERMINATE
+        lame = event is Event.LAMEDUCK or (lame and event is not Event.REJOIN)
+        calm = State.READY if able else State.STARTING
+        assert after is life.state is (State.LEAVING if leaving else State.LAME if lame else calm)
+    assert all(one is not other for one, other in pairwise(told))
+    assert not told or told[-1] is life.state
+
+
+@pytest.mark.parametrize(
+    ("calls", "answers"),
+    [
+        (["PING"], ["SUCCESS"]),
+        (["LAMEDUCK", "PING", "LAMEDUCK"], ["SUCCESS", "FAILURE", "SUCCESS"]),
+        (["LAMEDUCK", "REJOIN", "PING"], ["SUCCESS", "SUCCESS", "SUCCESS"]),
+        (["REJOIN", "PING"], ["SUCCESS", "SUCCESS"]),
+        (["ping", "", "PING now", "\x00\xff"], ["FAILURE"] * 4),
+    ],
+)
+def test_calls_out_of_turn_get_a_true_answer(calls: list[str], answers: list[str]) -> None:
+    desk = operators(ready())
+    assert [desk.answer(call.encode("latin-1")).split()[0].decode() for call in calls] == answers
+
+
+def test_nobody_rejoins_while_the_process_leaves_or_starts() -> None:
+    life = Lifecycle()
+    assert operators(life).answer(b"REJOIN").startswith(b"FAILURE")
+    life.on(Event.ABLE)
+    life.on(Event.LAMEDUCK)
+    life.on(Event.TERMINATE)
+    reply = operators(life).answer(b"REJOIN")
+    assert reply.startswith(b"FAILURE") and b"leaving" in reply and reply.endswith(b"\n")
+    assert operators(life).answer(b"PING").startswith(b"FAILURE leaving")
+
+
+def test_ready_without_a_backend_is_no_readiness() -> None:
+    assert operators(ready(), able=False).answer(b"PING").startswith(b"FAILURE")
+
+
+def test_info_shows_every_class_from_the_start() -> None:
+    desk = operators(ready())
+    desk.ledger.taken()
+    desk.ledger.taken()
+    desk.ledger.ended("b", 200)
+    desk.ledger.tried()
+    assert desk.answer(b"INFO").decode().splitlines() == [
+        "SUCCESS",
+        "app.handled.a.passed=0", "app.handled.a.dropped=0", "app.handled.a.bad_gateway=0",
+        "app.handled.b.passed=1", "app.handled.b.dropped=0", "app.handled.b.bad_gateway=0",
+        "app.upstream_tries=1", "app.in_progress=1", "app.known_backends=5", "app.skipped_backends=2",
+        "EOT",
+    ]  # fmt: skip
+
+
+@given(st.lists(st.tuples(st.sampled_from("ab"), st.sampled_from([200, 429, 503, 502, 504, 409, None]))))
+def test_every_request_taken_ends_in_one_count(ends: list[tuple[str, int | None]]) -> None:
+    ledger = Ledger("ab")
+    for _ in ends:
+        ledger.taken()
+    for done, (cls, code) in enumerate(ends, 1):
+        ledger.ended(cls, code)
+        assert ledger.in_progress == len(ends) - done
+        assert sum(handled.total for handled in ledger.handled.values()) == done
+    for cls, handled in ledger.handled.items():
+        codes = [code for name, code in ends if name == cls]
+        assert handled.passed == codes.count(200) and handled.gone == codes.count(None)
+        assert handled.dropped == codes.count(429) + codes.count(503)
+
+
+@given(st.binary(max_size=40).filter(lambda text: b"\n" not in text), st.binary(max_size=20), st.data())
+def test_a_line_in_any_pieces_is_the_same_line(text: bytes, more: bytes, data: st.DataObject) -> None:
+    whole = text + b"\n" + more
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(whole)), max_size=6)))
+    line = Line()
+    for start, end in zip([0, *cuts], [*cuts, len(whole)], strict=True):
+        found = line.feed(whole[start:end])
+        if found is not None:
+            break
+    assert found == text.removesuffix(b"\r") and not line.too_long
+
+
+def test_a_line_without_an_end_is_cut_off() -> None:
+    line = Line()
+    assert line.feed(b"x" * LONGEST) is None
+    assert line.feed(b"x") is not None and line.too_long
+    half = Line()
+    half.feed(b"PIN")
+    assert half.ended() == b"PIN" and Line().ended() is None
