Let callers in by a bound on descriptors, and make room by what was seen of each

At fault: Server.add and create_server, which accept a whole burst before any bound is asked, and shares of the limit that added up to more than it (0.5 clients, 0.4 backends, the rest unbounded). Ruled out: memory (17 of 40 MB) and the core (0.32 s in its busiest second). Change: shares of descriptors from the limit, an accept loop that rests at its bound, limits/room.py for who gives way, limits/pace.py for how long a request may take, answers that close near the bound; server.py split by concern.

--- a/granitepoint/net/admin.py
+++ b/granitepoint/net/admin.py
@@ -15,7 +15,6 @@
 
 log = logging.getLogger(__name__)
 
-MOST = 32  # connections at once, and so descriptors; beyond it the one that came first gives way
 HOLD = 5.0  # s that a caller may take for its line and for its answer
 LOOK = 0.5  # s between looks for those that took longer
 READ = 4096  # bytes at a time
@@ -34,8 +33,7 @@
 class Admin:
     """Binds at once, and raises ConfigError where it can't; answers once it is started."""
 
-    def __init__(self, at: Address, most: int = MOST) -> None:
-        self.most = most
+    def __init__(self, at: Address) -> None:
         family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
         self.listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
         try:
@@ -53,8 +51,9 @@
         self.accepting = True
         self.thread: threading.Thread | None = None
 
-    def start(self, operators: Operators) -> None:
-        self.operators = operators
+    def start(self, operators: Operators, most: int) -> None:
+        """`most` callers at once, and so descriptors; beyond it the one that came first gives way."""
+        self.operators, self.most = operators, most
         self.thread = threading.Thread(target=self._run, name="admin", daemon=True)
         self.thread.start()
 
--- a/granitepoint/net/drain.py
+++ b/granitepoint/net/drain.py
@@ -59,7 +59,7 @@
         server.draining = True
         server.close_idle()
         await asyncio.sleep(LAST_ACCEPT - STILL_COMING)
-        server.stop_listening()
+        await server.entrance.close()
         while self.owed():
             server.close_idle(partial=True)
             await asyncio.sleep(STEP)
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import os
 import time
 import zlib
 from collections.abc import Callable
@@ -15,13 +16,14 @@
 from typing import Any, Protocol
 
 from granitepoint import interface as api
+from granitepoint.limits.descriptors import shares
 from granitepoint.logic import Balancer
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
+from granitepoint.net.peer import Reply
 from granitepoint.net.reports import read_report
 from granitepoint.net.request import Request
-from granitepoint.net.server import Reply
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
 from granitepoint.operators.calls import Backends
 from granitepoint.operators.ledger import Ledger
@@ -56,13 +58,21 @@
         self.timer: asyncio.TimerHandle | None = None
 
 
+def held_descriptors() -> int:
+    """Those that this process has open now; 0 where the system does not tell."""
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return 0
+
+
 class Desk:
     """What the pools of one proxy share: connections to backends, the names of open calls, their numbers."""
 
     def __init__(self, config: Config) -> None:
         settings = config.settings
-        most_open = config.sockets * 2 // 5
-        self.upstreams = Upstreams(settings.connect_timeout, settings.conn_idle, most_open)
+        self.shares = shares(config.sockets, held_descriptors(), config.admin is not None)
+        self.upstreams = Upstreams(settings.connect_timeout, settings.conn_idle, self.shares.upstreams)
         self.ledger = Ledger(cls.name for cls in settings.classes)
         self.ids: set[bytes] = set()  # of the calls in the tables, and of attempts still out
         self.calls_taken = 0
--- /dev/null
+++ b/granitepoint/net/entrance.py
@@ -0,0 +1,156 @@
+"""Lets callers in: listeners, the bound on descriptors, and what comes before HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from granitepoint.limits.pace import HEAD
+from granitepoint.limits.room import SERVED
+from granitepoint.net import listener
+from granitepoint.net.peer import Certificates, Door, Peer, TurnedAway, told_address
+from granitepoint.net.tls import reason
+
+log = logging.getLogger(__name__)
+
+BATCH = 32  # connections let in before the loop turns to others
+ENTERING_SHARE = 0.1  # of the bound, that may be at their handshake
+PAUSE = 0.02  # s until the next look for room, when no end of a connection makes it
+SAID = 5.0  # s between two lines about connections that can't be let in
+GOODBYE = 1.0  # s for the end of a TLS connection to be answered
+LAST_LOOK = 0.3  # s for which what waits in a listener's queue is let in before it closes
+
+Make = Callable[[Peer | None, float], asyncio.BaseProtocol]  # who, and when it came
+
+
+class Entrance:
+    """Accepts while `make_room` says so; `opened` is what it lets in, until that tells that it has ended."""
+
+    def __init__(self, make: Make, most: int, held: Callable[[], int], evict: Callable[[], bool]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.make, self.most, self.held, self.evict = make, most, held, evict
+        self.served = max(1, int(most * SERVED))
+        self.door: Door | None = None
+        self.listeners: dict[socket.socket, Certificates | None] = {}
+        self.resting: set[socket.socket] = set()  # listeners that are not read now
+        self.entering: set[asyncio.Task[None]] = set()
+        self.meeting: dict[asyncio.Task[None], None] = {}  # those at a door or a handshake, the oldest first
+        self.said = 0.0
+
+    def listen(self, host: str, port: int, certificates: Certificates | None = None) -> None:
+        """Raises OSError."""
+        sock = listener.listen(host, port)
+        self.listeners[sock] = certificates
+        self.loop.add_reader(sock, self._accept, sock)
+
+    @property
+    def room(self) -> bool:
+        """Whether one more descriptor may be taken. Near the bound it is the place of one that gives way,
+        which leaves in the loop's next turn, or of a caller that will be refused."""
+        held = self.held() + len(self.entering)
+        if held >= self.served:
+            self.evict()
+        return held < self.most
+
+    def _accept(self, sock: socket.socket) -> None:
+        for _ in range(BATCH):
+            if not self.room:
+                return self._rest(sock)
+            try:
+                caller, _ = sock.accept()
+            except BlockingIOError:
+                return None
+            except OSError as fault:
+                if fault.errno != errno.ECONNABORTED:
+                    self._say(fault)
+                    self.evict()
+                    return self._rest(sock)
+                continue
+            self._let_in(caller, self.listeners[sock])
+        return None
+
+    def _say(self, fault: OSError) -> None:
+        if time.monotonic() > self.said + SAID:
+            self.said = time.monotonic()
+            log.warning("connections can't be accepted: %s", fault)
+
+    def _rest(self, sock: socket.socket) -> None:
+        if sock not in self.resting:
+            self.resting.add(sock)
+            self.loop.remove_reader(sock)
+            self.loop.call_later(PAUSE, self.resume)
+
+    def resume(self) -> None:
+        """Some connection has ended, or it is time to look again."""
+        resting, self.resting = self.resting, set()
+        for sock in resting:
+            if sock in self.listeners:
+                self.loop.add_reader(sock, self._accept, sock)
+
+    def _let_in(self, caller: socket.socket, certificates: Certificates | None) -> None:
+        caller.setblocking(False)
+        task = self.loop.create_task(self._enter(caller, certificates))
+        self.entering.add(task)
+        task.add_done_callback(self.entering.discard)
+        if self.door is not None or certificates is not None:
+            if len(self.meeting) >= max(1, int(self.most * ENTERING_SHARE)):
+                next(iter(self.meeting)).cancel()  # it has said nothing for the longest
+            self.meeting[task] = None
+            task.add_done_callback(self.meeting.pop)
+
+    async def _enter(self, sock: socket.socket, certificates: Certificates | None) -> None:
+        """All that comes before HTTP, within the time of a first request."""
+        came = time.monotonic()
+        handed_on = False
+        told = "unknown"
+        peer: Peer | None = None
+        try:
+            more: dict[str, Any] = {}
+            if self.door is not None or certificates is not None:
+                peer = Peer(told_address(sock.getpeername()))
+                told = peer.client
+            if self.door is not None:
+                async with asyncio.timeout(HEAD):
+                    peer = await self.door.meet(sock)
+            if certificates is not None:
+                more = {"ssl": certificates.context, "ssl_shutdown_timeout": GOODBYE,
+                        "ssl_handshake_timeout": came + HEAD - time.monotonic()}  # fmt: skip
+            handed_on = True
+            await self.loop.connect_accepted_socket(partial(self.make, peer, came), sock, **more)
+        except TurnedAway as fault:
+            if str(fault):
+                log.warning("connection closed: client=%s reason=%s", told, fault)
+        except OSError as fault:
+            if handed_on and certificates is not None:
+                log.warning("tls: handshake refused: client=%s reason=%s", told, reason(fault))
+            elif isinstance(fault, TimeoutError):
+                log.warning("connection closed: client=%s reason=nothing came in time", told)
+        except Exception:
+            log.exception("a connection could not be taken")
+        finally:
+            if not handed_on:
+                sock.close()
+
+    async def close(self) -> None:
+        """What the kernel has let in already is served, as far as there is room: closing a listener resets
+        what is in its queue."""
+        end = time.monotonic() + LAST_LOOK
+        for sock, certificates in self.listeners.items():
+            if sock not in self.resting:
+                self.loop.remove_reader(sock)
+            try:
+                while time.monotonic() < end:
+                    if self.room:
+                        self._let_in(sock.accept()[0], certificates)
+                    else:
+                        await asyncio.sleep(PAUSE / 4)
+            except OSError:  # the queue is empty, or can't be read
+                pass
+            sock.close()
+        self.listeners = {}
--- a/granitepoint/net/figures.py
+++ b/granitepoint/net/figures.py
@@ -15,7 +15,7 @@
 
 from granitepoint.interface import Settings
 from granitepoint.net.config import address
-from granitepoint.net.server import Asked
+from granitepoint.net.peer import Asked
 from granitepoint.net.writer import Write, Writer, to_descriptor
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/granitepoint/net/peer.py
@@ -0,0 +1,73 @@
+"""Who calls, and what the callers' side and the driver ask of each other."""
+
+from __future__ import annotations
+
+import json
+import socket
+import ssl
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from granitepoint.net.request import Request
+
+
+@dataclass(slots=True)
+class Peer:
+    """Who is at the other end of a connection, where a feature has to know."""
+
+    client: str  # address and port
+    via: str | None = None  # the front's address
+    denied: bool = False
+    subject: str | None = None  # of its certificate; None: not TLS
+
+    def told(self) -> str:
+        via = "" if self.via is None else f" via={self.via}"
+        subject = "" if self.subject is None else f" client_subject={json.dumps(self.subject)}"
+        return f"client={self.client}{via}{subject}"
+
+
+@dataclass(slots=True)
+class Asked:
+    """What is known of a request whatever becomes of it: peers' text, as it came."""
+
+    id: str
+    cls: str
+    tenant: str
+    came: float  # monotonic
+    peer: Peer | None = None
+
+
+class Reply(Protocol):
+    """Where a call's answer goes."""
+
+    def answer(self, code: int, headers: Any, body: bytes) -> None: ...
+
+
+class Certificates(Protocol):
+    """What a TLS port asks for: a connection keeps the context that it began with."""
+
+    context: ssl.SSLContext
+
+
+class TurnedAway(Exception):
+    """A connection is closed before HTTP; the message says why, if there is anything to say."""
+
+
+class Door(Protocol):
+    """Who a connection's client is, from what comes before TLS and HTTP; raises TurnedAway."""
+
+    async def meet(self, sock: socket.socket) -> Peer: ...
+
+
+class Handler(Protocol):
+    """What the callers' side asks of the driver."""
+
+    def opened(self, request: Request, reply: Reply) -> object: ...
+
+    def left(self, call: Any) -> None: ...
+
+
+def told_address(name: Any) -> str:
+    """A socket's name as `host:port`."""
+    host, port = name[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -20,8 +20,8 @@
 from granitepoint.net.discovery import Discovery, Listed, Listing
 from granitepoint.net.driver import Desk, Driver, OpenCall
 from granitepoint.net.features import RoutesSettings
+from granitepoint.net.peer import Reply
 from granitepoint.net.request import BadRequest, Headers, Request, Routed
-from granitepoint.net.server import Reply
 from granitepoint.operators.calls import Backends
 from granitepoint.routing.checks import check_classes, tied
 from granitepoint.routing.findings import Finding, RoutingError
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -23,7 +23,8 @@
 from granitepoint.net.driver import Driver
 from granitepoint.net.features import Features, RoutesSettings
 from granitepoint.net.figures import Figures
-from granitepoint.net.server import Asked, Server
+from granitepoint.net.peer import Asked
+from granitepoint.net.server import Server
 from granitepoint.net.tls import Tls
 from granitepoint.net.writer import LOG_BYTES, LogHandler, Writer, to_descriptor
 from granitepoint.operators.calls import Operators
@@ -36,7 +37,6 @@
 LAST_LINES = 0.5  # s for each target of figures or logs to take what is held at the end
 LOOK = 0.02  # s between looks whether a backend has said anything
 NEWS = 3.0  # s that a process which replaces another waits for discovery's list and a backend's first word
-CLIENT_SHARE = 0.5  # of the descriptors, for callers' connections; the upstreams' bound is in the driver
 
 log = logging.getLogger(__name__)
 
@@ -92,7 +92,7 @@
     loop.add_signal_handler(signal.SIGHUP, reconfigure, driver, running)
     life, ledger = Lifecycle(), driver.desk.ledger
     server = Server(
-        driver.effects, driver, int(config.sockets * CLIENT_SHARE), ledger,
+        driver.effects, driver, driver.desk.shares.clients, ledger,
         lambda: life.state is State.READY and driver.ready(),
     )  # fmt: skip
     draining = Drain(server, lambda: len(driver.calls) if isinstance(driver, Driver) else driver.calls)
@@ -103,23 +103,25 @@
         watchers.append(figures)
     tls = Tls(features.tls) if features.tls is not None else None
     if features.addresses is not None:
-        server.door = Addresses(features.addresses)
+        server.entrance.door = Addresses(features.addresses)
     if tls is not None or features.addresses is not None:
         watchers.append(AccessLog())
     server.watchers = tuple(watchers)
     driver.start()
     if admin is not None:
-        admin.start(Operators(life, ledger, driver.ready, driver.listed_backends))
+        admin.start(
+            Operators(life, ledger, driver.ready, driver.listed_backends), driver.desk.shares.operators
+        )
     if replaces:
         await informed(driver, term)
-    await server.listen(*config.listen)
+    server.entrance.listen(*config.listen)
     if figures is not None:
         running.append(loop.create_task(figures.run()))
     if not isinstance(driver, Driver):
         server.router = driver.route
         running.append(loop.create_task(driver.run()))
     if tls is not None:
-        server.listen_tls(config.listen[0], tls.settings.port or 0, tls)
+        server.entrance.listen(config.listen[0], tls.settings.port or 0, tls)
         running.append(loop.create_task(tls.run()))
     # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
     gc.collect()
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,194 @@
+"""What makes room, how descriptors are shared, how long a peer may take; then true clients in a crowd."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import os
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from netkit import Backend, Caller, Proxy, proxy, run
+
+from granitepoint.limits.descriptors import LEAST_START, REST, shares
+from granitepoint.limits.pace import FIRST, HEAD, SLOWEST, STALL, Pace
+from granitepoint.limits.room import PATIENCE, YOUNG, Stage, gives_way
+
+TRUE_RATE = 64_000  # bytes a second at which a slow true client writes
+
+
+@dataclass
+class Guest:
+    stage: Stage
+    begun: float
+    changed_at: float
+    received: int = 0
+
+
+times = st.floats(0, 10)
+guests = st.lists(
+    st.builds(lambda stage, begun, after, size: Guest(stage, begun, min(10.0, begun + after), size),
+              st.sampled_from(Stage), times, times, st.integers(0, 1000))
+)  # fmt: skip
+
+
+@given(guests)
+def test_who_is_owed_an_answer_never_gives_way_and_the_idle_do_first(present: list[Guest]) -> None:
+    found = gives_way(present, 10.0)
+    idle = [guest for guest in present if guest.stage is Stage.IDLE]
+    if idle:
+        assert found is not None and found.stage is Stage.IDLE
+        assert found.changed_at == min(guest.changed_at for guest in idle)
+    elif found is None:
+        coming = [guest for guest in present if guest.stage is Stage.COMING]
+        assert all(10.0 - guest.begun <= (PATIENCE if guest.received else YOUNG) for guest in coming)
+    else:
+        assert found.stage is not Stage.OWED
+
+
+def test_a_slow_writer_outlives_the_silent_and_the_dripping() -> None:
+    slow = Guest(Stage.COMING, 8.3, 9.8, 100)  # has written for 1.7 s, and lately
+    half = Guest(Stage.COMING, 9.4, 9.4, 100)
+    silent = Guest(Stage.COMING, 9.5, 9.5)
+    dripping = Guest(Stage.COMING, 9.1, 9.99, 12)
+    fresh = Guest(Stage.COMING, 9.9, 9.9)
+    for other in (half, silent, dripping):
+        assert gives_way([slow, other, fresh], 10.0) is other
+    assert gives_way([slow, fresh], 10.0) is slow
+    assert gives_way([Guest(Stage.COMING, 9.3, 9.8, 60), fresh], 10.0) is None
+
+
+@given(st.integers(64, 1024), st.integers(0, 30), st.booleans())
+def test_the_shares_stay_within_the_limit(limit: int, held: int, operators: bool) -> None:
+    found = shares(limit, held, operators)
+    assert found.clients >= 1 and found.upstreams >= 1 and bool(found.operators) is operators
+    assert found.clients + found.upstreams + found.operators + max(held, LEAST_START) + REST <= limit
+    if limit >= 192:  # clients may use a third for requests
+        assert found.clients >= limit / 3
+
+
+@given(st.floats(0, 2.0), st.lists(st.integers(1, 32_000), min_size=1, max_size=60))
+def test_a_body_at_the_slowest_true_rate_is_sound(head: float, pieces: list[int]) -> None:
+    pace = Pace(100.0)
+    now = 100.0 + head
+    pace.head_begins(now)
+    assert pace.due >= now
+    pace.body_begins(now)
+    for size in pieces:
+        now += size / TRUE_RATE
+        assert pace.due > now
+        pace.body(size, now)
+
+
+@given(st.lists(st.tuples(st.floats(0, 3), st.integers(0, 400)), max_size=30))
+def test_silence_and_drips_end_within_three_seconds(drips: list[tuple[float, int]]) -> None:
+    """What is too little for a true client gains no time to speak of, whenever the head was whole."""
+    pace = Pace(100.0)
+    now = 100.0
+    begun = False
+    for after, size in drips:
+        if now + after > pace.due:
+            break
+        now += after
+        if not begun:
+            pace.body_begins(now)
+            begun = True
+        pace.body(size, now)
+    gained = sum(size for _, size in drips) / SLOWEST
+    assert pace.due <= 100.0 + max(HEAD, FIRST) + gained + 1e-9
+    pace.whole()
+    assert pace.due == math.inf
+
+
+def test_a_side_that_does_not_read_blames_nobody() -> None:
+    pace = Pace(0.0)
+    pace.body_begins(1.0)
+    pace.held_up()
+    pace.body(10, 50.0)
+    assert pace.due == math.inf
+    pace.resumed(60.0)
+    assert pace.due == 60.0 + STALL
+
+
+def descriptors(node: Proxy) -> int:
+    return len(os.listdir(f"/proc/{node.process.pid}/fd"))
+
+
+@pytest.mark.parametrize("kind", ["silent", "half", "dripping", "asked and stayed", "open and close"])
+def test_true_clients_are_served_beside_a_crowd(kind: str) -> None:
+    """At the bound of descriptors some of the crowd makes room for each true client; some write slowly."""
+    limit = 96
+
+    async def test() -> None:
+        crowd: list[Caller] = []
+        most = 0
+
+        async def press(node: Proxy) -> None:
+            while True:
+                try:
+                    peer = await node.caller()
+                except OSError:
+                    await asyncio.sleep(0.01)
+                    continue
+                if kind == "half":
+                    peer.writer.write(b"GET /stock HTTP/1.1\r\nX-")
+                elif kind == "asked and stayed":
+                    peer.writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+                if kind == "open and close":
+                    peer.writer.close()
+                else:
+                    crowd.append(peer)
+                await asyncio.sleep(0.004)
+
+        async def drip() -> None:
+            while True:
+                for peer in crowd[-200:]:
+                    with contextlib.suppress(OSError):
+                        peer.writer.write(b"x" if kind == "dripping" else b"")
+                await asyncio.sleep(0.2)
+
+        async def watch(node: Proxy) -> None:
+            nonlocal most
+            while True:
+                most = max(most, descriptors(node))
+                await asyncio.sleep(0.01)
+
+        async def client(node: Proxy, number: int) -> bool:
+            try:
+                caller = await node.caller()
+                whole = (
+                    f"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: {number:016x}\r\n"
+                    "X-Budget: 1000m\r\n\r\n"
+                ).encode()
+                pieces = 4 if number % 5 == 0 else 1
+                size = -(-len(whole) // pieces)
+                for start in range(0, len(whole), size):
+                    caller.writer.write(whole[start : start + size])
+                    await asyncio.sleep(0.25 if pieces > 1 else 0)
+                reply = await caller.answer()
+                caller.writer.close()
+                return reply.code == 200
+            except (OSError, asyncio.IncompleteReadError):
+                return False
+
+        async with proxy({"s-1": Backend()}, sockets=limit) as node:
+            others = [asyncio.create_task(task) for task in (press(node), press(node), drip(), watch(node))]
+            await asyncio.sleep(0.5)
+            tasks = []
+            for number in range(100):
+                tasks.append(asyncio.create_task(client(node, number)))
+                await asyncio.sleep(0.02)
+            served = await asyncio.gather(*tasks)
+            for other in others:
+                other.cancel()
+            async with asyncio.timeout(1.0):
+                assert (await node.operator("PING")).startswith("SUCCESS")
+            for peer in crowd:
+                peer.writer.close()
+        assert most <= limit
+        assert sum(served) >= 95, f"{sum(served)} of {len(served)} were served"
+
+    run(test())
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -20,7 +20,7 @@
 from granitepoint import Tenant
 from granitepoint.net import features
 from granitepoint.net.figures import DATAGRAM, Figures, FiguresSettings, LineFormat, StatsD, datagrams
-from granitepoint.net.server import Asked
+from granitepoint.net.peer import Asked
 from granitepoint.net.writer import Writer
 
 TENANTS = [{"name": "coastal-cabs", "quota_rps": 100.0, "portion": 0.5}]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -558,7 +558,7 @@
                 assert reply.code == 503 and float(reply.headers["retry-after"]) > 0
             free.set()
             assert all([(await caller.answer()).code in (200, 503) for caller in callers])
-            assert (await callers[0].call("stock", "9" * 16)).code == 200
+            assert (await (await node.caller()).call("stock", "9" * 16)).code == 200
 
     run(test())
 
