Stream large messages both ways with back-pressure, and time them by their progress

Change: bodies over 64 KiB pass through (net/upload.py, net/exchange.py), one scratch buffer sized by the memory limit, StreamStarted told to the module, time limits by progress, answers until close, absolute-form targets, HEAD, HTTP/1.0. Found on the way, by a line for each upload that ended early: a length with spaces behind it was read as 0 (Content-Length 'N ' at ClientConnection.on_headers_complete), so a backend got a body cut short; and a body on a kept connection had 0.3 s. Ruled out: empty pieces (3,000 random splits through the parser, none), a retry after the first byte (no such line).

--- a/granitepoint/limits/pace.py
+++ b/granitepoint/limits/pace.py
@@ -39,4 +39,5 @@
         self.due = now + STALL
 
     def whole(self) -> None:
-        self.due = math.inf
+        """Nothing is awaited. What comes next is not the first: its time is from its own first byte."""
+        self.due = self.came = math.inf
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -1074,6 +1074,8 @@
         total = counted = 0.0
         stuck: list[Attempt] = []
         for attempt in self.out.values():
+            if attempt.call.streaming:
+                continue  # its age tells of its size, and of the client
             age = now - attempt.sent_at
             cls = attempt.call.cls
             if attempt.counted:
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -29,6 +29,7 @@
     known: Mapping[str, Any]  # the list of backends as last held, in discovery's form
     settings: Settings
     raw_settings: Mapping[str, Any] = field(default_factory=dict)  # as the file holds them
+    memory: int = 128 << 20  # bytes that the process may use
     admin: Address | None = None  # where operators call; None: nowhere
 
 
@@ -115,6 +116,7 @@
             known=known,
             settings=read_settings(flatten(raw["settings"])),
             raw_settings=raw["settings"],
+            memory=int(float(limits.get("memory_mb", 128)) * (1 << 20)),
             admin=address(admin) if admin else None,
         )
     except (OSError, ValueError, TypeError, AttributeError) as fault:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import os
 import time
 import zlib
@@ -17,14 +18,17 @@
 
 from granitepoint import interface as api
 from granitepoint.limits.descriptors import shares
+from granitepoint.limits.memory import piece
 from granitepoint.logic import Balancer
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
+from granitepoint.net.exchange import LATE, ONE_TURN, Exchange
+from granitepoint.net.hop import HOP_BY_HOP
 from granitepoint.net.peer import Reply
 from granitepoint.net.reports import read_report
 from granitepoint.net.request import Request
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, Exchange, Upstreams
+from granitepoint.net.upstream import Upstreams
 from granitepoint.operators.calls import Backends
 from granitepoint.operators.ledger import Ledger
 
@@ -43,7 +47,8 @@
     """A taken request that is owed its answer."""
 
     __slots__ = (
-        "attempts", "deadline", "driver", "exchange", "number", "open", "ran", "reply", "request", "timer",
+        "attempts", "deadline", "driver", "exchange", "number", "open", "ran", "reply", "request",
+        "streaming", "timer",
     )  # fmt: skip
 
     def __init__(
@@ -54,6 +59,7 @@
         self.open = True
         self.attempts = 0
         self.ran = False  # some attempt may have run
+        self.streaming = False  # some of its answer has gone out
         self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -74,6 +80,8 @@
         self.shares = shares(config.sockets, held_descriptors(), config.admin is not None)
         self.upstreams = Upstreams(settings.connect_timeout, settings.conn_idle, self.shares.upstreams)
         self.ledger = Ledger(cls.name for cls in settings.classes)
+        self.scratch = memoryview(bytearray(piece(config.memory, self.shares.clients)))
+        self.upstreams.scratch = self.scratch
         self.ids: set[bytes] = set()  # of the calls in the tables, and of attempts still out
         self.calls_taken = 0
 
@@ -249,17 +257,21 @@
         margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
         routed = request.routed
         limit = routed.timeout if routed is not None and routed.timeout else request.budget
-        deadline = request.came + min(request.budget, limit) - margin
+        coming = request.upload is not None and not request.upload.whole
+        deadline = math.inf if coming else request.came + min(request.budget, limit) - margin
         call = OpenCall(self, number, request, reply, deadline)
         self.calls[number] = call
         if request.id:  # a mirrored copy has none
             self.ids.add(request.id)
         now = time.monotonic()
-        call.timer = self.loop.call_later(max(0.0, deadline - now), self._overdue, call)
+        left = request.budget - margin - MODULE_MARGIN
+        if not coming:  # its time begins with its last byte
+            call.timer = self.loop.call_later(max(0.0, deadline - now), self._overdue, call)
+            left += request.came - now
         arrival = api.Arrival(
             call=number,
             cls=request.cls,
-            budget=request.came + request.budget - margin - MODULE_MARGIN - now,
+            budget=left,
             tenant=request.tenant,
             work=request.work,
             resent=request.resent,
@@ -268,16 +280,31 @@
         if routed is not None:
             arrival.attempts = routed.attempts
             if limit < request.budget:
-                arrival.limit = deadline - MODULE_MARGIN - now
+                arrival.limit = left - (request.budget - limit)
         if self.capture is not None and request.id:
             self.capture.taken(request, arrival, self.pool)
         self._push(arrival)
         return call
 
+    def uploaded(self, call: OpenCall) -> None:
+        """The last byte of a request that was opened while it came: from here on its time counts."""
+        if not call.open or call.streaming:
+            return
+        request = call.request
+        routed = request.routed
+        limit = routed.timeout if routed is not None and routed.timeout else request.budget
+        margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
+        call.deadline = request.came + min(request.budget, limit) - margin
+        wait = max(0.0, call.deadline - time.monotonic())
+        call.timer = self.loop.call_later(wait, self._overdue, call)
+
     def left(self, call: OpenCall) -> None:
         if call.open:
+            exchange = call.exchange
             self._settle(call, None)
             self._push(api.Gone(call.number))
+            if exchange is not None and (call.streaming or exchange.coming):
+                exchange.cancel()  # the module does not, where something has begun to flow
 
     def _overdue(self, call: OpenCall, late: bool = False) -> None:
         """The module has said nothing in time: a failure, unless a refusal is provably harmless."""
@@ -331,7 +358,7 @@
             return
         timeout = min(action.timeout, call.deadline - time.monotonic())
         request = call.request
-        head = request.head + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
+        head = request.head + request.framing() + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
 
         def may_start() -> bool:
             return call.open and upstream.serving
@@ -339,12 +366,35 @@
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
+        def begun(exchange: Exchange, length: int | None) -> bool:
+            return self._answer_begins(call, number, action.server, exchange, length)
+
         exchange = Exchange(
-            upstream, head + request.body, max(0.0, timeout), may_start, done, self.desk.ledger.tried
+            upstream, head + request.body, max(0.0, timeout), may_start, done, self.desk.ledger.tried, begun
         )
+        if request.upload is not None:
+            exchange.upload = request.upload
+            request.upload.on_let_go = lambda: self._push(
+                api.StreamStarted(call.number, number, action.server)
+            )
         call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
 
+    def _answer_begins(
+        self, call: OpenCall, number: int, server: int, exchange: Exchange, length: int | None
+    ) -> bool:
+        """The first bytes of a large answer go out as they come. False: nobody wants them."""
+        if not call.open:
+            return False
+        call.streaming = True
+        if call.timer is not None:
+            call.timer.cancel()
+        self._push(api.StreamStarted(call.number, number, server, exchange.elapsed))
+        headers = [pair for pair in exchange.headers if pair[0] not in DROPPED]
+        call.reply.begin(headers, length, exchange)
+        exchange.sink = call.reply.send
+        return True
+
     def _attempt_ended(self, call: OpenCall, number: int, server: int, exchange: Exchange) -> None:
         status = exchange.status
         assert status is not None
@@ -354,6 +404,12 @@
             call.ran = True
         if not call.open:
             self.ids.discard(call.request.id)
+        elif call.streaming:
+            self._settle(call, 200 if status is api.Status.OK else 502)
+            if status is api.Status.OK:
+                call.reply.finish()
+            else:
+                call.reply.abort()
         elif status is api.Status.OK:
             headers = [pair for pair in exchange.headers if pair[0] not in DROPPED]
             self._close(call, 200, headers, exchange.body)
--- /dev/null
+++ b/granitepoint/net/exchange.py
@@ -0,0 +1,171 @@
+"""One attempt or probe: a request to one backend, from the decision to send until its one end."""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from granitepoint.interface import Status
+from granitepoint.net.upload import Upload
+
+if TYPE_CHECKING:
+    from granitepoint.net.upstream import Connection, Upstream
+
+log = logging.getLogger(__name__)
+
+LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
+ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
+STREAM_STALL = 20.0  # s in which some bytes of a streamed message must move
+
+
+class Exchange:
+    """One request to one backend, from the decision to send until its one end.
+
+    `may_start` is asked right before the first byte goes out, also after a slow connect: meanwhile the call
+    may have ended or the backend begun to drain. `written` is told when the last byte of the request goes
+    out, `begun` when an answer is to be passed on as it comes (it sets `sink`, or says that nobody wants it),
+    and `done` once, with `status` set.
+    """
+
+    __slots__ = (
+        "begun", "body", "code", "connection", "done", "due", "elapsed", "headers", "loop", "may_start",
+        "moved_at", "request", "sent", "sink", "started_at", "status", "timeout", "timer", "upload",
+        "upstream", "whole", "written",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        request: bytes,
+        timeout: float,
+        may_start: Callable[[], bool],
+        done: Callable[[Exchange], None],
+        written: Callable[[], None] | None = None,
+        begun: Callable[[Exchange, int | None], bool] | None = None,
+    ) -> None:
+        self.upstream, self.request, self.timeout = upstream, request, timeout
+        self.may_start, self.done, self.written, self.begun = may_start, done, written, begun
+        self.loop = upstream.owner.loop
+        self.started_at = time.monotonic()
+        self.status: Status | None = None
+        self.elapsed = 0.0  # s: from the last byte of the request to the first of a large answer, or the end
+        self.sent = False  # some of the request has gone out
+        self.whole = False  # all of it has
+        self.upload: Upload | None = None  # the body that follows `request` while it comes
+        self.sink: Callable[[bytes], None] | None = None  # where the answer goes as it comes
+        self.moved_at = 0.0  # when bytes of a streamed message last moved
+        self.connection: Connection | None = None
+        self.code = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = b""
+        self.due = self.started_at + timeout
+        self.timer = self.loop.call_later(timeout, self._out_of_time)
+
+    @property
+    def coming(self) -> bool:
+        """Whether some of the request's body is still to be passed on."""
+        return self.upload is not None and not self.whole
+
+    def end(self, status: Status) -> None:
+        """Any end but a whole answer gives up the connection, so that a late answer reaches nobody."""
+        if self.status is not None:
+            return
+        if status in (Status.RESET, Status.TIMEOUT) and self.coming:
+            status = Status.CONNECT_FAILED  # no backend starts a request whose last byte it has not got
+        self.status = status
+        if self.sink is None:
+            self.elapsed = time.monotonic() - self.started_at
+        self.timer.cancel()
+        if self.upload is not None:
+            self.upload.reader = None
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.abandon()
+        try:
+            self.done(self)
+        except Exception:  # one call's fault must not end the callbacks of a connection
+            log.exception("the end of an exchange failed")
+
+    def cancel(self) -> None:
+        self.end(Status.CANCELLED if self.sent else Status.MOOT)
+
+    def _out_of_time(self) -> None:
+        now = time.monotonic()
+        if self.sent and (self.sink is not None or self.coming):
+            self._look_at_stream(now)
+            return
+        if now > self.due + LATE:
+            # This process stood still, and timers come before sockets: the answer may have come long ago.
+            self.due = math.inf
+            self.timer = self.loop.call_later(ONE_TURN, self._out_of_time)
+            return
+        if self.sent and self.upstream.heard_at < self.started_at:
+            # The backend said nothing to anyone meanwhile. A machine that vanished leaves its connections
+            # open and silent; when it is back, each would cost one more call or probe to find out.
+            self.upstream.close_idle(self.started_at)
+        self.end(Status.TIMEOUT if self.sent else Status.MOOT)
+
+    def _look_at_stream(self, now: float) -> None:
+        """What flows has no time limit, as long as it flows; how long a caller may take is for the callers'
+        side to say."""
+        upload = self.upload
+        waits_for_caller = self.coming and upload is not None and not upload.waiting
+        if waits_for_caller or now < self.moved_at + STREAM_STALL:
+            self.timer = self.loop.call_later(STREAM_STALL / 4, self._out_of_time)
+        else:
+            self.end(Status.TIMEOUT)
+
+    def run_on(self, connection: Connection) -> None:
+        """Writes the request, unless it has ended or must not start any more."""
+        if self.status is not None or not self.may_start():
+            connection.upstream.keep(connection)
+            self.end(Status.MOOT)
+            return
+        self.connection = connection
+        self.sent = True
+        self.moved_at = time.monotonic()
+        connection.begin(self)
+
+    def went_out(self) -> None:
+        """The last byte of the request is on its way."""
+        if self.upload is not None:  # its time begins here
+            self.upload.reader = None
+            self.started_at = time.monotonic()
+            self.due = self.started_at + self.timeout
+            self.timer.cancel()
+            self.timer = self.loop.call_later(self.timeout, self._out_of_time)
+        self.whole = True
+        if self.written is not None:
+            self.written()
+
+    def begin_answer(self, code: int, headers: list[tuple[bytes, bytes]], length: int | None) -> bool:
+        """Whether the answer is passed on from here as it comes."""
+        if code != 200 or self.begun is None or self.status is not None:
+            return False
+        self.code, self.headers = code, headers
+        self.elapsed = time.monotonic() - self.started_at
+        self.timer.cancel()
+        self.moved_at = time.monotonic()
+        self.timer = self.loop.call_later(STREAM_STALL, self._out_of_time)
+        return self.begun(self, length)
+
+    def pause(self) -> None:
+        if self.connection is not None:
+            self.connection.hold(True)
+
+    def resume(self) -> None:
+        if self.connection is not None:
+            self.connection.hold(False)
+
+    def answered(self, code: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        self.connection = None
+        self.code, self.headers, self.body = code, headers, body
+        if code == 200:
+            self.end(Status.OK)
+        elif code in (503, 504) and any(name == b"x-rejected" and value == b"1" for name, value in headers):
+            self.end(Status.FULL)
+        else:
+            self.end(Status.ERROR)
--- a/granitepoint/net/peer.py
+++ b/granitepoint/net/peer.py
@@ -37,11 +37,28 @@
     peer: Peer | None = None
 
 
+class Source(Protocol):
+    """Where the rest of an answer comes from, held up while the caller takes nothing."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
 class Reply(Protocol):
-    """Where a call's answer goes."""
+    """Where a call's answer goes: whole by `answer`, or served in parts by `begin`, `send`, then `finish` or
+    `abort`."""
 
     def answer(self, code: int, headers: Any, body: bytes) -> None: ...
 
+    def begin(self, headers: Any, length: int | None, source: Source) -> None: ...
+
+    def send(self, chunk: bytes) -> None: ...
+
+    def finish(self) -> None: ...
+
+    def abort(self) -> None: ...
+
 
 class Certificates(Protocol):
     """What a TLS port asks for: a connection keeps the context that it began with."""
@@ -64,6 +81,8 @@
 
     def opened(self, request: Request, reply: Reply) -> object: ...
 
+    def uploaded(self, call: Any) -> None: ...
+
     def left(self, call: Any) -> None: ...
 
 
--- a/granitepoint/net/request.py
+++ b/granitepoint/net/request.py
@@ -8,12 +8,15 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from granitepoint.interface import Effect
-from granitepoint.net.upstream import HOP_BY_HOP
+from granitepoint.net.hop import HOP_BY_HOP
+from granitepoint.net.upload import Upload
 
 if TYPE_CHECKING:
     from granitepoint.routing.model import Ask, Route
 
 BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])")
+ABSOLUTE = re.compile(rb"^https?://[^/?#]*(?=/|$)", re.IGNORECASE)
+KEPT = frozenset({b"host", b"x-call-id", b"x-caller", b"x-budget", b"idempotency-key"})
 REPLACED = HOP_BY_HOP | {b"x-budget", b"expect", b"x-load-report"}
 
 LONGEST = 200  # characters of a header that is told of
@@ -68,10 +71,20 @@
     work: float
     resent: bool
     head: bytes  # what goes on to a backend, but for the last headers
-    body: bytes
-    came: float  # monotonic
+    came: float  # monotonic: when it was whole, or its head where its body is still coming
+    bodyless: bool  # a GET
+    body: bytes = b""
+    length: int | None = 0  # of a body that is still coming; None: unknown until its end
+    upload: Upload | None = None  # its body, where that is passed on while it comes
     routed: Routed | None = None  # where routes are on
 
+    def framing(self) -> bytes:
+        """The header by which a backend knows where the body ends."""
+        if self.bodyless:
+            return b""
+        length = len(self.body) if self.upload is None else self.upload.length
+        return b"transfer-encoding: chunked\r\n" if length is None else b"content-length: %d\r\n" % length
+
 
 class BadRequest(Exception):
     """An answer that the proxy gives by itself: the request can't be taken, or a route answers it."""
@@ -88,21 +101,36 @@
     return values[0] if values else b""
 
 
+def named_by_connection(headers: Headers) -> set[bytes]:
+    """Headers meant for this hop alone (RFC 9110, section 7.6.1); what the platform's rules rest on stays."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
+            named.update(part.strip().lower() for part in value.split(b","))
+    return named - KEPT
+
+
+def origin_form(target: bytes) -> bytes:
+    """A target that names its host too (RFC 9112, section 3.2.2) without that."""
+    return (ABSOLUTE.sub(b"", target, count=1) or b"/") if target[:1] != b"/" else target
+
+
 def class_of(target: bytes) -> str:
     return target[1:].split(b"?", 1)[0].split(b"/", 1)[0].decode("latin-1")
 
 
-def read_request(
+def read_head(
     method: bytes,
     target: bytes,
     headers: list[tuple[bytes, bytes]],
-    body: bytes,
     came: float,
     effects: Mapping[str, Effect],
     router: Router | None = None,
     source: Callable[[], str] = str,
 ) -> Request:
-    """Raises BadRequest; the rules that need a second look stand here, not in the parser."""
+    """A request without its body. Raises BadRequest; the rules that need a second look stand here, not in the
+    parser."""
+    target = origin_form(target)
     if not target.startswith(b"/"):
         raise BadRequest(400, "the target is not a path")
     budget = BUDGET.fullmatch(_one(headers, b"x-budget"))
@@ -124,16 +152,13 @@
         raise BadRequest(400, "wrong method for the class")
     if (effect is Effect.BY_KEY) != bool(key):
         raise BadRequest(400, "Idempotency-Key goes with a keyed class, and only with one")
-    if body and method == b"GET":
-        raise BadRequest(400, "a GET has no body")
     try:
         work = max(0.0, float(_one(headers, b"x-call-cost") or 0)) / 1e6
     except ValueError:
         raise BadRequest(400, "X-Call-Cost is malformed") from None
     lines = [method + b" " + target + b" HTTP/1.1"]
-    lines += [name + b": " + value for name, value in headers if name not in REPLACED]
-    if method == b"POST":
-        lines.append(b"content-length: %d" % len(body))
+    gone = REPLACED | named_by_connection(headers)
+    lines += [name + b": " + value for name, value in headers if name not in gone]
     subject = ""
     for part in _one(headers, b"cookie").split(b";"):
         name, _, value = part.strip().partition(b"=")
@@ -148,7 +173,7 @@
         work=work if work - work == 0.0 else 0.0,
         resent=_one(headers, b"x-again") == b"1",
         head=b"\r\n".join(lines) + b"\r\n",
-        body=body,
         came=came,
+        bodyless=method == b"GET",
         routed=routed,
     )
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -20,7 +20,7 @@
 from granitepoint.net.discovery import Discovery, Listed, Listing
 from granitepoint.net.driver import Desk, Driver, OpenCall
 from granitepoint.net.features import RoutesSettings
-from granitepoint.net.peer import Reply
+from granitepoint.net.peer import Reply, Source
 from granitepoint.net.request import BadRequest, Headers, Request, Routed
 from granitepoint.operators.calls import Backends
 from granitepoint.routing.checks import check_classes, tied
@@ -69,6 +69,18 @@
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         pass
 
+    def begin(self, headers: Any, length: int | None, source: Source) -> None:
+        pass
+
+    def send(self, chunk: bytes) -> None:
+        pass
+
+    def finish(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
 
 class Moving:
     """A request of a route with fallbacks. If its pool loses its last member before anything was sent, the
@@ -97,6 +109,18 @@
                 return
         self.reply.answer(code, headers, body)
 
+    def begin(self, headers: Any, length: int | None, source: Source) -> None:
+        self.reply.begin(headers, length, source)
+
+    def send(self, chunk: bytes) -> None:
+        self.reply.send(chunk)
+
+    def finish(self) -> None:
+        self.reply.finish()
+
+    def abort(self) -> None:
+        self.reply.abort()
+
 
 def stand_in(routed: Routed, served: Mapping[str, Served]) -> str | None:
     pools = {name: one.pool for name, one in served.items()}
@@ -407,6 +431,11 @@
             self._tell(one, api.ListKind.FULL)
         return one.driver.opened(request, reply)
 
+    def uploaded(self, call: OpenCall | Moving) -> None:
+        now = call.call if isinstance(call, Moving) else call
+        if now is not None:
+            now.driver.uploaded(now)
+
     def left(self, call: OpenCall | Moving) -> None:
         now = call.call if isinstance(call, Moving) else call
         if now is not None:
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -93,7 +93,7 @@
     life, ledger = Lifecycle(), driver.desk.ledger
     server = Server(
         driver.effects, driver, driver.desk.shares.clients, ledger,
-        lambda: life.state is State.READY and driver.ready(),
+        lambda: life.state is State.READY and driver.ready(), driver.desk.scratch,
     )  # fmt: skip
     draining = Drain(server, lambda: len(driver.calls) if isinstance(driver, Driver) else driver.calls)
     life.changed = draining.told
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -29,10 +29,12 @@
         most_open: int,
         ledger: Ledger,
         ready: Callable[[], bool],
+        scratch: memoryview,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.effects, self.handler, self.most_open = effects, handler, most_open
         self.ledger, self.ready = ledger, ready
+        self.scratch = scratch  # into which all connections read
         self.connections: set[ClientConnection] = set()  # until their descriptors are closed
         self.draining = False  # each answer is the last on its connection
         self.watchers: tuple[Watcher[Asked], ...] = ()
@@ -83,7 +85,7 @@
     def _sweep(self) -> None:
         now = time.monotonic()
         for connection in list(self.connections):
-            if connection.pace.due < now and connection.stage is Stage.COMING:
+            if connection.overdue(now):
                 connection.close()
         self.close_idle(now - IDLE)
         self.abort(now - IDLE)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -103,6 +103,15 @@
     assert pace.due == math.inf
 
 
+def test_a_body_on_a_kept_connection_has_the_same_time() -> None:
+    pace = Pace(0.0)
+    pace.whole()
+    pace.head_begins(100.0)
+    assert pace.due == 100.0 + HEAD
+    pace.body_begins(101.0)
+    assert pace.due == 101.0 + STALL
+
+
 def test_a_side_that_does_not_read_blames_nobody() -> None:
     pace = Pace(0.0)
     pace.body_begins(1.0)
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,573 @@
+"""Large, slow and piecewise messages through the program itself, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, cast
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from netkit import PATIENCE, Backend, Proxy, proxy, response, run
+
+from granitepoint.limits.memory import LEAST_PIECE, MOST_PIECE, PIECES, STREAMS_SHARE, piece
+
+MB = 1 << 20
+
+
+@given(st.integers(1 << 20, 1 << 30), st.integers(1, 2000))
+def test_all_streams_hold_their_share_of_the_memory_at_most(memory: int, streams: int) -> None:
+    found = piece(memory, streams)
+    assert LEAST_PIECE <= found <= MOST_PIECE
+    if found > LEAST_PIECE:
+        assert found * PIECES * streams <= memory * STREAMS_SHARE
+
+
+Act = Callable[[bytes, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Raw:
+    """A backend that reads a request's head, then does as `act` says; probes are answered."""
+
+    def __init__(self, act: Act) -> None:
+        self.act = act
+        self.heads: list[bytes] = []
+        self.address = ""
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> Raw:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"GET /load"):
+                    writer.write(response(200, b"inflight=0,queue=0"))
+                    continue
+                self.heads.append(head)
+                await self.act(head, reader, writer)
+                if writer.is_closing():
+                    return
+        writer.close()
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+
+async def body_of(head: bytes, reader: asyncio.StreamReader) -> bytes:
+    fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
+    if b"content-length" in fields:
+        return await reader.readexactly(int(fields[b"content-length"]))
+    if head.startswith(b"GET"):
+        return b""
+    parts: list[bytes] = []
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+        part = await reader.readexactly(size + 2)
+        if not size:
+            return b"".join(parts)
+        parts.append(part[:-2])
+
+
+def ask(cls: str, id: str, *fields: str, version: str = "1.1", budget: str = "3000m") -> bytes:
+    method = "GET" if cls == "stock" else "POST"
+    lines = [f"{method} /{cls} HTTP/{version}", "Host: x", f"X-Call-Id: {id}", f"X-Budget: {budget}"]
+    lines += [f"Idempotency-Key: k{id}"] if cls == "reserva" else []
+    return "\r\n".join([*lines, *fields]).encode() + b"\r\n\r\n"
+
+
+async def read_answer(reader: asyncio.StreamReader) -> tuple[int, dict[bytes, bytes], bytes]:
+    async with asyncio.timeout(PATIENCE):
+        head = await reader.readuntil(b"\r\n\r\n")
+        fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
+        code = int(head.split(b" ")[1])
+        if b"content-length" in fields or b"transfer-encoding" in fields:
+            return code, fields, await body_of(head, reader)
+        return code, fields, await reader.read()
+
+
+@contextlib.asynccontextmanager
+async def before(act: Act, **changes: Any) -> AsyncIterator[tuple[Proxy, Raw]]:
+    raw = Raw(act)
+    async with proxy({"s-1": cast(Backend, raw)}, **changes) as node:
+        yield node, raw
+
+
+def pattern(size: int, seed: int = 1) -> bytes:
+    return random.Random(seed).randbytes(1 << 16) * (size // (1 << 16)) + b"x" * (size % (1 << 16))
+
+
+async def echo(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    body = await body_of(head, reader)
+    writer.write(response(200, body))
+    await writer.drain()
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("size", [0, 1, 65_536, 65_537, 3 * MB])
+def test_a_body_of_any_size_goes_through_unchanged(size: int, chunked: bool) -> None:
+    async def test() -> None:
+        async with before(echo) as (node, raw):
+            caller = await node.caller()
+            body = pattern(size)
+            for id in "ab":  # the connection is kept
+                if chunked:
+                    caller.writer.write(ask("reserva", id * 16, "Transfer-Encoding: chunked", "Trailer: X-T"))
+                    for start in range(0, size, 70_001):
+                        part = body[start : start + 70_001]
+                        caller.writer.write(b"%x;ext=1\r\n%b\r\n" % (len(part), part))
+                        await caller.writer.drain()
+                    caller.writer.write(b"0\r\nX-Call-Id: forged\r\n\r\n")
+                else:
+                    caller.writer.write(ask("reserva", id * 16, f"Content-Length: {size}") + body)
+                code, _, came = await read_answer(caller.reader)
+                assert code == 200 and came == body
+            assert len(raw.heads) == 2 and not any(b"forged" in head for head in raw.heads)
+            found = await node.figures()
+            assert found["app.handled.reserva.passed"] == found["app.upstream_tries"] == 2
+            assert found["app.in_progress"] == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("way", ["length", "chunked", "close"])
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_an_answer_of_every_form_comes_whole(way: str, version: str) -> None:
+    async def test() -> None:
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await body_of(head, reader)
+            writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
+            size = sizes.pop()
+            body = pattern(size)
+            if way == "length":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + body)
+            elif way == "chunked":
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                for start in range(0, size, 50_000):
+                    part = body[start : start + 50_000]
+                    writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+                    await writer.drain()
+                writer.write(b"0\r\nX-Trailer: 1\r\n\r\n")
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body)
+            await writer.drain()
+            if way == "close":
+                writer.close()
+
+        sizes = [2 * MB, 70_000, 10, 0]
+        for_whom = list(reversed(sizes))
+        async with before(act) as (node, _):
+            for number, size in enumerate(for_whom):
+                caller = await node.caller()
+                caller.writer.write(ask("stock", f"{number:016x}", version=version))
+                code, fields, body = await read_answer(caller.reader)
+                assert code == 200 and body == pattern(size)
+                assert version == "1.1" or b"transfer-encoding" not in fields
+                caller.writer.close()
+
+    run(test())
+
+
+def test_the_first_bytes_of_an_answer_come_while_the_rest_is_held_back() -> None:
+    async def test() -> None:
+        go_on = asyncio.Event()
+
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if b"/stock" in head:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 1000)
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                writer.write(b"3e8\r\n" + b"a" * 1000 + b"\r\n")
+            await go_on.wait()
+            if b"/stock" in head:
+                writer.write(b"a" * 199_000)
+            else:
+                writer.write(b"0\r\n\r\n")
+
+        async with before(act) as (node, _):
+            callers = [await node.caller(), await node.caller()]
+            callers[0].writer.write(ask("stock", "a" * 16, budget="1000m"))
+            callers[1].writer.write(ask("canje", "b" * 16, "Content-Length: 0", budget="1000m"))
+            for caller in callers:
+                async with asyncio.timeout(PATIENCE):
+                    assert b" 200 " in await caller.reader.readuntil(b"\r\n\r\n")
+                    assert b"aaa" in await caller.reader.read(100)
+            found = await node.figures()
+            assert found["app.in_progress"] == 2
+            await asyncio.sleep(1.1)  # its budget is over, and what streams goes on
+            go_on.set()
+            async with asyncio.timeout(PATIENCE):
+                rest = await callers[1].reader.readuntil(b"0\r\n\r\n")
+                assert rest.endswith(b"0\r\n\r\n")
+                size = 0
+                while size < 199_900:
+                    size += len(await callers[0].reader.read(1 << 16))
+            assert (await node.figures())["app.handled.stock.passed"] == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("way", ["length", "chunked", "close"])
+def test_an_answer_that_breaks_off_is_passed_on_as_visibly_not_whole(way: str) -> None:
+    async def test() -> None:
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            start = {
+                "length": b"Content-Length: 300000\r\n\r\n", "close": b"\r\n",
+                "chunked": b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % 300_000,
+            }[way]  # fmt: skip
+            writer.write(b"HTTP/1.1 200 OK\r\n" + start + b"a" * 100_000)
+            await writer.drain()
+            await asyncio.sleep(0.2)
+            hard(writer)
+
+        async with before(act) as (node, raw):
+            caller = await node.caller()
+            caller.writer.write(ask("stock", "a" * 16))
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await read_answer(caller.reader)
+            found = await node.figures()
+            assert found["app.handled.stock.bad_gateway"] == 1 and found["app.in_progress"] == 0
+            assert len(raw.heads) == 1
+
+    run(test())
+
+
+def hard(writer: asyncio.StreamWriter) -> None:
+    """Ends the connection by a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def refuse_early(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readexactly(100_000)
+    writer.write(b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+    await writer.drain()
+    await asyncio.sleep(PATIENCE)
+
+
+async def serve_early(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readexactly(100_000)
+    writer.write(response(200, b"seen enough"))
+    await writer.drain()
+    await asyncio.sleep(PATIENCE)
+
+
+async def break_off(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.readexactly(100_000)
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(("act", "code"), [(refuse_early, 503), (serve_early, 200), (break_off, 503)])
+def test_an_answer_before_the_end_of_the_body_arrives(act: Act, code: int) -> None:
+    """The rest is read and dropped, since closing on unread bytes takes the answer with it."""
+
+    async def test() -> None:
+        async with before(act) as (node, raw):
+            caller = await node.caller()
+            size = 8 * MB
+            caller.writer.write(ask("canje", "a" * 16, f"Content-Length: {size}"))
+
+            async def send() -> None:
+                for _ in range(size // 65_536):
+                    caller.writer.write(bytes(65_536))
+                    await caller.writer.drain()
+
+            sending = asyncio.create_task(send())
+            found, fields, _ = await read_answer(caller.reader)
+            assert found == code and fields[b"connection"] == b"close"
+            async with asyncio.timeout(PATIENCE):
+                await sending
+            assert await caller.ended()
+            assert len(raw.heads) == 1  # body bytes that are no longer held have gone out
+            figures = await node.figures()
+            ends = {name: n for name, n in figures.items() if "canje" in name and n}
+            assert list(ends.values()) == [1] and figures["app.in_progress"] == 0
+
+    run(test())
+
+
+def test_a_body_that_no_backend_has_taken_can_go_to_another() -> None:
+    async def test() -> None:
+        raw = await Raw(echo).start()
+        dead = Backend()
+        await dead.start()
+        assert dead.server is not None
+        dead.server.close()
+        async with proxy({"s-1": dead, "s-2": cast(Backend, raw)}) as node:
+            for number in range(6):
+                caller = await node.caller()
+                body = pattern(MB, number)
+                caller.writer.write(ask("canje", f"{number:016x}", f"Content-Length: {MB}") + body)
+                code, _, came = await read_answer(caller.reader)
+                assert code == 200 and came == body
+                caller.writer.close()
+
+    run(test())
+
+
+def test_a_body_at_64_kb_a_second_is_sound_and_its_time_begins_with_its_end() -> None:
+    async def test() -> None:
+        async with before(echo) as (node, _):
+            caller = await node.caller()
+            body = pattern(160_000)
+            caller.writer.write(ask("reserva", "a" * 16, f"Content-Length: {len(body)}", budget="1000m"))
+            for start in range(0, len(body), 8_000):
+                await asyncio.sleep(0.125)
+                caller.writer.write(body[start : start + 8_000])
+            code, _, came = await read_answer(caller.reader)
+            assert code == 200 and came == body
+
+    run(test())
+
+
+@pytest.mark.parametrize("sent", [0, 1000, 100_000])
+def test_a_body_that_stops_is_ended_within_three_seconds(sent: int) -> None:
+    async def test() -> None:
+        async with before(echo) as (node, _):
+            begun = time.monotonic()
+            caller = await node.caller()
+            caller.writer.write(ask("canje", "a" * 16, "Content-Length: 1000000") + bytes(sent))
+            assert await caller.ended()
+            assert time.monotonic() - begun < 3.0
+            assert (await node.figures())["app.in_progress"] == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("when", ["sending", "reading"])
+def test_a_client_that_leaves_midway_ends_its_exchange(when: str) -> None:
+    async def test() -> None:
+        ended = asyncio.Event()
+
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                if when == "sending":
+                    await body_of(head, reader)
+                else:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (64 * MB))
+                    for _ in range(1024):
+                        writer.write(bytes(65_536))
+                        await writer.drain()
+            except (OSError, asyncio.IncompleteReadError):
+                ended.set()
+                raise
+
+        async with before(act) as (node, _):
+            caller = await node.caller()
+            if when == "sending":
+                caller.writer.write(ask("canje", "a" * 16, f"Content-Length: {8 * MB}") + bytes(MB))
+                await caller.writer.drain()
+            else:
+                caller.writer.write(ask("stock", "a" * 16))
+                await caller.reader.readexactly(MB)
+            caller.writer.transport.abort()
+            async with asyncio.timeout(PATIENCE):
+                await ended.wait()
+                while (await node.figures())["app.in_progress"]:
+                    await asyncio.sleep(0.02)
+
+    run(test())
+
+
+def memory(node: Proxy) -> int:
+    with open(f"/proc/{node.process.pid}/status") as status:
+        return next(int(line.split()[1]) * 1024 for line in status if line.startswith("VmHWM"))
+
+
+def test_thirty_bodies_of_32_mb_each_way_within_the_memory() -> None:
+    """Neither readers nor writers keep pace, so all that could pile up does."""
+
+    async def test() -> None:
+        size, streams = 32 * MB, 30
+
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if head.startswith(b"POST"):
+                left = size
+                while left:
+                    left -= len(await reader.read(min(left, 1 << 18)))
+                writer.write(response(200, b"%d" % size))
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+                for _ in range(size >> 18):
+                    writer.write(bytes(1 << 18))
+                    await writer.drain()
+
+        async def up(node: Proxy, number: int) -> int:
+            caller = await node.caller()
+            caller.writer.write(ask("canje", f"{number:016x}", f"Content-Length: {size}", budget="5900m"))
+            for _ in range(size >> 18):
+                caller.writer.write(bytes(1 << 18))
+                await caller.writer.drain()
+            code, _, body = await read_answer(caller.reader)
+            caller.writer.close()
+            return code if body == b"%d" % size else 0
+
+        async def down(node: Proxy, number: int) -> int:
+            caller = await node.caller()
+            caller.writer.write(ask("stock", f"{number:016x}", budget="5900m"))
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            code = int(head.split(b" ")[1])
+            left = size if code == 200 else 0
+            while left:
+                part = await caller.reader.read(1 << 18)
+                if not part:
+                    return 0
+                left -= len(part)
+            caller.writer.close()
+            return code
+
+        async with before(act, memory_mb=64) as (node, _):
+            before_it = memory(node)
+            ways = [up(node, n) if n % 2 else down(node, n) for n in range(streams)]
+            codes = await asyncio.gather(*ways)
+            assert codes.count(200) + codes.count(503) == streams and codes.count(200) >= streams // 2
+            assert memory(node) - before_it < 16 * MB
+
+    run(test())
+
+
+def test_a_slow_reader_holds_up_its_own_backend_alone() -> None:
+    async def test() -> None:
+        written = 0
+
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal written
+            if b"/canje" in head:
+                writer.write(response(200, b"quick"))
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (64 * MB))
+            for _ in range(256):
+                writer.write(bytes(1 << 18))
+                await writer.drain()
+                written += 1 << 18
+
+        async with before(act) as (node, _):
+            slow, quick = await node.caller(), await node.caller()
+            slow.writer.write(ask("stock", "a" * 16))
+            await slow.reader.readexactly(1000)
+            seen = -1
+            while seen != written:
+                seen = written
+                await asyncio.sleep(0.3)
+            assert written < 48 * MB
+            for number in range(5):
+                quick.writer.write(ask("canje", f"{number:016x}", "Content-Length: 0"))
+                assert (await read_answer(quick.reader))[0] == 200
+            left = 64 * MB - 1000
+            async with asyncio.timeout(PATIENCE):
+                while left > 0:
+                    part = await slow.reader.read(1 << 20)
+                    assert part
+                    left -= len(part)
+
+    run(test())
+
+
+def test_a_head_split_at_every_byte_and_requests_in_a_row() -> None:
+    async def test() -> None:
+        async with before(echo) as (node, raw):
+            caller = await node.caller()
+            whole = ask("canje", "a" * 16, "Content-Length: 5") + b"hello"
+            for byte in whole:
+                caller.writer.write(bytes([byte]))
+                await caller.writer.drain()
+            assert (await read_answer(caller.reader))[2] == b"hello"
+            row = b"".join(
+                ask("canje", f"{n:016x}", f"Content-Length: {n * 50_000}") + pattern(n * 50_000)
+                for n in range(5)
+            )
+            caller.writer.write(row)
+            for n in range(5):
+                assert (await read_answer(caller.reader))[2] == pattern(n * 50_000)
+            assert len(raw.heads) == 6
+
+    run(test())
+
+
+def test_continue_is_said_before_the_body_and_head_has_no_body() -> None:
+    async def test() -> None:
+        async with before(echo) as (node, _):
+            caller = await node.caller()
+            caller.writer.write(ask("canje", "a" * 16, "Content-Length: 200000", "Expect: 100-continue"))
+            async with asyncio.timeout(PATIENCE):
+                assert b" 100 " in await caller.reader.readuntil(b"\r\n\r\n")
+            caller.writer.write(bytes(200_000))
+            assert (await read_answer(caller.reader))[0] == 200
+            caller.writer.write(b"HEAD /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+            async with asyncio.timeout(PATIENCE):
+                assert b" 200 " in await caller.reader.readuntil(b"\r\n\r\n")
+            caller.writer.write(b"GET http://service.internal/healthz?x HTTP/1.1\r\nHost: x\r\n\r\n")
+            code, _, body = await read_answer(caller.reader)
+            assert (code, body) == (200, b"ok\n")
+            caller.writer.write(ask("stock", "b" * 16).replace(b"/stock", b"http://service.internal/stock?q=1"))
+            assert (await read_answer(caller.reader))[0] == 200
+
+    run(test())
+
+
+def test_spaces_around_a_header_s_value_are_none_of_it() -> None:
+    """A length that is not read leads to a body cut short at the backend."""
+
+    async def test() -> None:
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            body = await body_of(head, reader)
+            spaced = b"HTTP/1.1 200 OK\r\nContent-Length:  %d \t\r\n\r\n" % len(body)
+            writer.write(spaced + body)
+
+        async with before(act) as (node, raw):
+            caller = await node.caller()
+            for size in (10, 100_000):
+                asked = ask("canje", f"{size:016x}", f"Content-Length: \t{size} ")
+                caller.writer.write(asked.replace(b"3000m\r\n", b"3000m \t\r\n") + pattern(size))
+                code, _, body = await read_answer(caller.reader)
+                assert code == 200 and body == pattern(size)
+            assert b"content-length: 100000\r\n" in raw.heads[1]
+
+    run(test())
+
+
+BOTH = "Content-Length: 5\r\nTransfer-Encoding: chunked"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [BOTH, "Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5, 5", "Content-Length: +5",
+     "Transfer-Encoding: chunked, identity", "Transfer-Encoding: xchunked", "Content-Length: 99999999999"],
+)  # fmt: skip
+def test_lengths_that_contradict_reach_nobody(fields: str) -> None:
+    async def test() -> None:
+        async with before(echo) as (node, raw):
+            caller = await node.caller()
+            smuggled = ask("canje", "b" * 16, "Content-Length: 0")
+            caller.writer.write(ask("canje", "a" * 16, fields) + b"0\r\n\r\n" + smuggled)
+            code, _, _ = await read_answer(caller.reader)
+            assert 400 <= code < 500
+            assert await caller.ended() and raw.heads == []
+
+    run(test())
+
+
+def test_headers_that_the_connection_names_are_not_passed_on() -> None:
+    async def test() -> None:
+        async with before(echo) as (node, raw):
+            caller = await node.caller()
+            caller.writer.write(
+                ask("canje", "a" * 16, "Connection: X-Hop, X-Call-Id", "X-Hop: 1", "X-Far: 2",
+                    "Content-Length: 0")
+            )
+            assert (await read_answer(caller.reader))[0] == 200
+            assert b"x-hop" not in raw.heads[0] and b"x-far: 2" in raw.heads[0]
+            assert b"x-call-id: " + b"a" * 16 in raw.heads[0]
+
+    run(test())
