Give a short request 2.2 s as a whole, whatever of it is body

One had its head whole and nothing of a short body for 1.27 s, one had 3,009 bytes in 1.32 s and was still coming: slow writers spread a short request over up to 2 s, body too. Ruled out: stalled large uploads (no line of one). At fault: Pace.body_begins, which took back what was left of the head's time.

--- a/granitepoint/limits/pace.py
+++ b/granitepoint/limits/pace.py
@@ -4,7 +4,7 @@
 
 import math
 
-HEAD = 2.2  # s for a head: a true client may take 2 s
+HEAD = 2.2  # s for a head, and for a short request as a whole; a true client may take 2 s
 SLOWEST = 48_000.0  # bytes a second of a body; a true client sends 64 kB a second
 STALL = 1.2  # s without that before a body counts as abandoned
 FIRST = 2.8  # s from connecting at which a body must be on its way: silence is owed an end within 3 s
@@ -25,7 +25,8 @@
         self.due = min(self.due, now + HEAD)
 
     def body_begins(self, now: float) -> None:
-        self.due = min(now + STALL, max(self.came + FIRST, now + LEAST))
+        """A short body may come as slowly as a head: both together have a head's time at least."""
+        self.due = max(self.due, min(now + STALL, max(self.came + FIRST, now + LEAST)))
 
     def body(self, size: int, now: float) -> None:
         if self.due < math.inf:
