Test what each way of replacing a listening process loses

Need: the issue asks to show it. 60 connections before and 60 after the new process listens: closing loses the 60 and about half of the rest; leading to the newest loses the 60; emptying the queue too loses none.

--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,80 @@
+"""What each way of replacing a listening process loses, on the sockets alone."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+
+import pytest
+from netkit import free_port
+
+from granitepoint.net import listener
+
+COUNT = 60
+
+
+def connect(port: int) -> list[socket.socket]:
+    return [socket.create_connection(("127.0.0.1", port)) for _ in range(COUNT)]
+
+
+def lost(callers: list[socket.socket]) -> int:
+    """Those whose connection the kernel has reset or closed."""
+    ended = select.select(callers, [], [], 0.2)[0]
+    return len(ended)
+
+
+@pytest.mark.parametrize("led", [False, True])
+@pytest.mark.parametrize("emptied", [False, True])
+def test_a_closed_listener_loses_what_is_in_its_queue(
+    led: bool, emptied: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if not led:
+        monkeypatch.setattr(listener, "lead", lambda sock: False)
+    port = free_port()
+    with contextlib.ExitStack() as stack:
+        old = stack.enter_context(listener.listen("127.0.0.1", port))
+        before = connect(port)
+        new = stack.enter_context(listener.listen("127.0.0.1", port))
+        after = connect(port)
+        taken = listener.waiting(old) if emptied else []
+        old.close()
+        gone = lost(before + after)
+        for sock in (*before, *after, *taken, *listener.waiting(new)):
+            sock.close()
+    if emptied:
+        assert gone == 0  # nothing came between the two steps here
+    elif led:
+        assert gone == COUNT  # all that came before, and nothing that came after
+    else:
+        assert COUNT < gone < 2 * COUNT  # about half of what came after, too
+    assert led or emptied or gone > COUNT
+
+
+def test_the_newest_is_led_to_again_and_again_and_a_dead_one_is_not() -> None:
+    port = free_port()
+    old = listener.listen("127.0.0.1", port)
+    for _ in range(4):
+        new = listener.listen("127.0.0.1", port)
+        callers = connect(port)
+        assert len(listener.waiting(old)) == 0 and len(listener.waiting(new)) == COUNT
+        for caller in callers:
+            caller.close()
+        old.close()
+        old = new
+    dying = listener.listen("127.0.0.1", port)
+    dying.close()
+    callers = connect(port)
+    assert len(listener.waiting(old)) == COUNT
+    for caller in callers:
+        caller.close()
+    old.close()
+
+
+def test_whether_another_listens_is_seen_without_a_trace() -> None:
+    port = free_port()
+    assert not listener.taken("127.0.0.1", port)
+    with listener.listen("127.0.0.1", port) as sock:
+        assert listener.taken("127.0.0.1", port)
+        assert listener.waiting(sock) == []
+    assert not listener.taken("127.0.0.1", port)
