Start W by the capacity that is listed, so that a restarted proxy does not refuse half

At fault: FIRST_WINDOW = 4, from which W grows by answers alone. Change: W starts at half of the calls that would crowd the listed servers, shared among the instances (settings and list), if that is more.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -63,6 +63,7 @@
 MOST_STEP = 0.3  # share of W that one call moves it by at most
 LEAST_LATENCY = 1e-4  # s; no answer counts as quicker, so that means stay above 0
 FIRST_WINDOW = 4.0  # calls, where W starts before anything is known
+FIRST_SHARE = 0.5  # of the calls that would crowd the listed servers, where W starts if these are more
 SUNK = 0.5  # added to ST's weight per tier above: work done there is lost by a refusal here
 POOL_LOCAL = 10  # servers of the own zone that an instance uses
 POOL = 16  # servers that an instance uses in all
@@ -781,6 +782,8 @@
 
     def start(self) -> None:
         self.last_step = self.now
+        _, crowd = self.servers.standing(self.now, 0.0)
+        self.admission.window = max(FIRST_WINDOW, FIRST_SHARE * crowd)
         # Discovery is small and all instances may start at once: the first call is spread out.
         self.watch_at = self.now + self.random.random() * min(2.0, self.settings.must_ask_within / 4)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -98,6 +98,15 @@
     assert part.window == 1
 
 
+@pytest.mark.parametrize(
+    ("weight", "balancers", "window"), [(5.0, 2, 20.0), (5.0, 8, 5.0), (1.0, 4, 4.0), (1.0, 80, 4.0)]
+)
+def test_window_starts_by_the_capacity_that_is_listed(weight: float, balancers: int, window: float) -> None:
+    # Found on crowd+term+scrape: a proxy restarted under load refused half for 3 s, until W was learned anew.
+    driver = Driver(settings(balancers=balancers), servers=entries(1, 2, 3, 4, weight=weight))
+    assert driver.balancer.admission.window == window
+
+
 @pytest.mark.parametrize(("held", "closes"), [(0.0, False), (9.0, True)])
 def test_late_answers_close_the_window_only_where_servers_are_crowded(held: float, closes: bool) -> None:
     # Found in r5136: a slowness of all servers, then ordinary long work, kept W at its floor for good while
