--- a/tests/test_operators_sockets.py
+++ b/tests/test_operators_sockets.py
@@ -95,6 +95,36 @@
     run(test())
 
 
+def test_calls_are_answered_while_the_serving_loop_is_busy_all_the_time() -> None:
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            ask = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n" * 500
+
+            async def flood() -> None:
+                caller = await node.caller()
+
+                async def read() -> None:
+                    while await caller.reader.read(1 << 18):
+                        pass
+
+                reading = asyncio.create_task(read())
+                while True:
+                    caller.writer.write(ask)
+                    await caller.writer.drain()
+                    assert not reading.done()
+
+            floods = [asyncio.create_task(flood()) for _ in range(8)]
+            await asyncio.sleep(0.5)
+            for _ in range(20):
+                async with asyncio.timeout(1.0):
+                    assert (await node.operator("INFO")).endswith("EOT\n")
+            for one in floods:
+                assert not one.done()
+                one.cancel()
+
+    run(test())
+
+
 @pytest.mark.parametrize("admin", ["127.0.0.1", "127.0.0.1:none", "host:80:", "held"])
 def test_an_address_that_can_not_be_used_is_named_in_one_line(admin: str) -> None:
     async def test() -> None:
