Say a call's limit and margin once, and make room by a method that says so

Driver.opened and uploaded each worked out the same limit and margin; Entrance.room was a property that evicts, its text named a make_room that was not there, and what _evict returned was read by nobody. No behaviour changed; 18 tests of streams, crowd, drain and replacement pass, linter and types clean.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -253,12 +253,9 @@
             self._push(api.Timer(self.resting.pop()))
         self.desk.calls_taken += 1
         number = self.desk.calls_taken
-        # What the budget has lost before the request was read shows only as this loop's lag.
-        margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
-        routed = request.routed
-        limit = routed.timeout if routed is not None and routed.timeout else request.budget
+        margin, limit = self._margin(), self._limit(request)
         coming = request.upload is not None and not request.upload.whole
-        deadline = math.inf if coming else request.came + min(request.budget, limit) - margin
+        deadline = math.inf if coming else request.came + limit - margin
         call = OpenCall(self, number, request, reply, deadline)
         self.calls[number] = call
         if request.id:  # a mirrored copy has none
@@ -277,8 +274,8 @@
             resent=request.resent,
             key=request.subject,
         )
-        if routed is not None:
-            arrival.attempts = routed.attempts
+        if request.routed is not None:
+            arrival.attempts = request.routed.attempts
             if limit < request.budget:
                 arrival.limit = left - (request.budget - limit)
         if self.capture is not None and request.id:
@@ -286,15 +283,22 @@
         self._push(arrival)
         return call
 
+    def _margin(self) -> float:
+        """What the budget has lost before the request was read shows only as this loop's lag."""
+        return min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
+
+    @staticmethod
+    def _limit(request: Request) -> float:
+        """s that the caller, or the request's route, allows from its last byte on."""
+        routed = request.routed
+        allowed = routed.timeout if routed is not None and routed.timeout else request.budget
+        return min(request.budget, allowed)
+
     def uploaded(self, call: OpenCall) -> None:
         """The last byte of a request that was opened while it came: from here on its time counts."""
         if not call.open or call.streaming:
             return
-        request = call.request
-        routed = request.routed
-        limit = routed.timeout if routed is not None and routed.timeout else request.budget
-        margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
-        call.deadline = request.came + min(request.budget, limit) - margin
+        call.deadline = call.request.came + self._limit(call.request) - self._margin()
         wait = max(0.0, call.deadline - time.monotonic())
         call.timer = self.loop.call_later(wait, self._overdue, call)
 
--- a/granitepoint/net/entrance.py
+++ b/granitepoint/net/entrance.py
@@ -30,9 +30,10 @@
 
 
 class Entrance:
-    """Accepts while `make_room` says so; `opened` is what it lets in, until that tells that it has ended."""
+    """Accepts while fewer than `most` descriptors are `held`; near that bound `evict` ends a connection that
+    gives way, if there is one. `make` is what a connection becomes."""
 
-    def __init__(self, make: Make, most: int, held: Callable[[], int], evict: Callable[[], bool]) -> None:
+    def __init__(self, make: Make, most: int, held: Callable[[], int], evict: Callable[[], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.make, self.most, self.held, self.evict = make, most, held, evict
         self.served = max(1, int(most * SERVED))
@@ -49,8 +50,7 @@
         self.listeners[sock] = certificates
         self.loop.add_reader(sock, self._accept, sock)
 
-    @property
-    def room(self) -> bool:
+    def make_room(self) -> bool:
         """Whether one more descriptor may be taken. Near the bound it is the place of one that gives way,
         which leaves in the loop's next turn, or of a caller that will be refused."""
         held = self.held() + len(self.entering)
@@ -60,7 +60,7 @@
 
     def _accept(self, sock: socket.socket) -> None:
         for _ in range(BATCH):
-            if not self.room:
+            if not self.make_room():
                 return self._rest(sock)
             try:
                 caller, _ = sock.accept()
@@ -146,7 +146,7 @@
                 self.loop.remove_reader(sock)
             try:
                 while time.monotonic() < end:
-                    if self.room:
+                    if self.make_room():
                         self._let_in(sock.accept()[0], certificates)
                     else:
                         await asyncio.sleep(PAUSE / 4)
