Look at what callers did while they waited at the door, and follow the pace of their coming

Cause: limits/room.py left each silent caller alone for YOUNG, 0.3 s, from when it was accepted, so the door's queue moved at 112 places / 0.3 s, and net/entrance.py knew nothing of the time and the bytes of those that waited there. Ruled out: a fixed YOUNG of 0.02 s serves them too, and cuts off late true callers where few come (the test of idle connections failed with it). A queue of 1,024 overflows: 5 to 14 of 800 waited out their second for a repeated SYN. Change: near the bound the kernel is asked (TCP_INFO) how long a caller waited and what came of it; who is late is closed without a place. Patience is places over the pace of arrivals, from 20 ms (a byte at the slowest true pace) to 0.3 s. The young give way by how far they lag. One scan a batch instead of one a caller. The queue is 4,096 long.

--- a/granitepoint/net/client.py
+++ b/granitepoint/net/client.py
@@ -13,6 +13,7 @@
 from granitepoint.limits.memory import WHOLE
 from granitepoint.limits.pace import Pace
 from granitepoint.limits.room import Stage
+from granitepoint.net.listener import seen
 from granitepoint.net.peer import Asked, Peer, Source
 from granitepoint.net.request import BadRequest, Request, class_of, origin_form, read_head
 from granitepoint.net.tls import subject
@@ -441,6 +442,13 @@
             return Stage.ENDING
         return Stage.COMING if self.inside or not self.asked_before else Stage.IDLE
 
+    @property
+    def unread(self) -> bool:
+        """Whether its first bytes have come and were not read yet: then nothing can be said of it."""
+        if self.received or self.asked_before or self.transport is None:
+            return False
+        return seen(self.transport.get_extra_info("socket"))[1] > 0
+
     def overdue(self, now: float) -> bool:
         """Whether a request that is awaited does not come; not where another is owed its answer."""
         if self.turn is not None and self.turn is not self.coming:
--- a/granitepoint/net/entrance.py
+++ b/granitepoint/net/entrance.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from granitepoint.limits.pace import HEAD
-from granitepoint.limits.room import SERVED
+from granitepoint.limits.room import SERVED, Press, late
 from granitepoint.net import listener
 from granitepoint.net.peer import Certificates, Door, Peer, TurnedAway, told_address
 from granitepoint.net.tls import reason
@@ -20,6 +20,7 @@
 log = logging.getLogger(__name__)
 
 BATCH = 32  # connections let in before the loop turns to others
+LOOKS = 128  # connections looked at before that
 ENTERING_SHARE = 0.1  # of the bound, that may be at their handshake
 PAUSE = 0.02  # s until the next look for room, when no end of a connection makes it
 SAID = 5.0  # s between two lines about connections that can't be let in
@@ -30,13 +31,14 @@
 
 
 class Entrance:
-    """Accepts while fewer than `most` descriptors are `held`; near that bound `evict` ends a connection that
-    gives way, if there is one. `make` is what a connection becomes."""
+    """Accepts while fewer than `most` descriptors are `held`. Near that bound `evict` ends so many of them
+    that give way, if there are such. `make` is what a connection becomes."""
 
-    def __init__(self, make: Make, most: int, held: Callable[[], int], evict: Callable[[], None]) -> None:
+    def __init__(self, make: Make, most: int, held: Callable[[], int], evict: Callable[[int], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.make, self.most, self.held, self.evict = make, most, held, evict
         self.served = max(1, int(most * SERVED))
+        self.press = Press(self.served)
         self.door: Door | None = None
         self.listeners: dict[socket.socket, Certificates | None] = {}
         self.resting: set[socket.socket] = set()  # listeners that are not read now
@@ -50,29 +52,55 @@
         self.listeners[sock] = certificates
         self.loop.add_reader(sock, self._accept, sock)
 
+    @property
+    def taken(self) -> int:
+        """Descriptors that callers hold."""
+        return self.held() + len(self.entering)
+
     def make_room(self) -> bool:
         """Whether one more descriptor may be taken. Near the bound it is the place of one that gives way,
         which leaves in the loop's next turn, or of a caller that will be refused."""
-        held = self.held() + len(self.entering)
-        if held >= self.served:
-            self.evict()
-        return held < self.most
+        taken = self.taken
+        if taken >= self.served:
+            self.evict(1)
+        return taken < self.most
 
     def _accept(self, sock: socket.socket) -> None:
-        for _ in range(BATCH):
-            if not self.make_room():
-                return self._rest(sock)
+        """While places are wanted, who waited here without the bytes of a true caller is closed unread, so
+        that the others don't wait for places behind it; who is let in takes the place of one that gives way.
+        """
+        taken = before = self.taken
+        looked, full = 0, False
+        while looked < LOOKS:
+            if taken >= self.most or taken - before >= BATCH:
+                full = taken >= self.most
+                break
             try:
                 caller, _ = sock.accept()
             except BlockingIOError:
-                return None
+                break
             except OSError as fault:
                 if fault.errno != errno.ECONNABORTED:
                     self._say(fault)
-                    self.evict()
+                    self.evict(1)
                     return self._rest(sock)
                 continue
-            self._let_in(caller, self.listeners[sock])
+            looked += 1
+            came = time.monotonic()
+            if taken >= self.served:
+                age, received = listener.seen(caller)
+                if late(received, age, self.press.patience):
+                    caller.close()
+                    continue
+                if not received:
+                    came -= age
+            self._let_in(caller, self.listeners[sock], came)
+            taken += 1
+        self.press.came(looked, time.monotonic())
+        if taken > self.served:
+            self.evict(taken - self.served if full else min(taken - self.served, taken - before))
+        if full:
+            self._rest(sock)
         return None
 
     def _say(self, fault: OSError) -> None:
@@ -93,9 +121,9 @@
             if sock in self.listeners:
                 self.loop.add_reader(sock, self._accept, sock)
 
-    def _let_in(self, caller: socket.socket, certificates: Certificates | None) -> None:
+    def _let_in(self, caller: socket.socket, certificates: Certificates | None, came: float) -> None:
         caller.setblocking(False)
-        task = self.loop.create_task(self._enter(caller, certificates))
+        task = self.loop.create_task(self._enter(caller, certificates, came))
         self.entering.add(task)
         task.add_done_callback(self.entering.discard)
         if self.door is not None or certificates is not None:
@@ -104,9 +132,8 @@
             self.meeting[task] = None
             task.add_done_callback(self.meeting.pop)
 
-    async def _enter(self, sock: socket.socket, certificates: Certificates | None) -> None:
+    async def _enter(self, sock: socket.socket, certificates: Certificates | None, came: float) -> None:
         """All that comes before HTTP, within the time of a first request."""
-        came = time.monotonic()
         handed_on = False
         told = "unknown"
         peer: Peer | None = None
@@ -147,7 +174,7 @@
             try:
                 while time.monotonic() < end:
                     if self.make_room():
-                        self._let_in(sock.accept()[0], certificates)
+                        self._let_in(sock.accept()[0], certificates, time.monotonic())
                     else:
                         await asyncio.sleep(PAUSE / 4)
             except OSError:  # the queue is empty, or can't be read
--- a/granitepoint/net/listener.py
+++ b/granitepoint/net/listener.py
@@ -12,10 +12,13 @@
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 1024
+BACKLOG = 4096
 ATTACH_FILTER = getattr(socket, "SO_ATTACH_REUSEPORT_CBPF", 51)  # asm-generic/socket.h
 RETURN = 0x06  # BPF_RET | BPF_K
 NEWEST = 1  # the kernel numbers the sockets of an address as they began to listen; an older one leaves 0 free
+LAST_SENT, LAST_SENT_AT = struct.Struct("I"), 44  # linux/tcp.h, struct tcp_info: tcpi_last_data_sent, ms
+RECEIVED, RECEIVED_AT = struct.Struct("Q"), 128  # tcpi_bytes_received
+TOLD = RECEIVED_AT + RECEIVED.size
 HUNGER = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -69,6 +72,19 @@
     return True
 
 
+def seen(sock: socket.socket) -> tuple[float, int]:
+    """How long ago, in s, a connection to which nothing was sent yet came up, and how many bytes came on it
+    (Linux, `struct tcp_info`: the time of the last sending begins with the connection). Where the kernel
+    doesn't tell: that it came just now."""
+    with contextlib.suppress(OSError, AttributeError):
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TOLD)
+        if len(told) == TOLD:
+            (since,) = LAST_SENT.unpack_from(told, LAST_SENT_AT)
+            (received,) = RECEIVED.unpack_from(told, RECEIVED_AT)
+            return since / 1000, received
+    return 0.0, 0
+
+
 def waiting(sock: socket.socket) -> list[socket.socket]:
     """The connections that came and were not accepted yet; the listener may be closed after it."""
     found = []
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -63,10 +63,10 @@
         if self.entrance.resting:
             self.loop.call_soon(self.entrance.resume)  # its descriptor is closed right after this
 
-    def _evict(self) -> None:
-        found = gives_way(self.connections, time.monotonic())
-        if found is not None:
-            found.end()
+    def _evict(self, count: int) -> None:
+        for connection in gives_way(self.connections, time.monotonic(), count, self.entrance.press.patience):
+            if not connection.unread:
+                connection.end()
 
     def close_idle(self, unused_since: float = math.inf, partial: bool = False) -> None:
         for connection in list(self.connections):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -15,7 +15,8 @@
 
 from granitepoint.limits.descriptors import LEAST_START, REST, shares
 from granitepoint.limits.pace import FIRST, HEAD, SLOWEST, STALL, Pace
-from granitepoint.limits.room import PATIENCE, YOUNG, Stage, gives_way
+from granitepoint.limits.room import FIRST as SILENT
+from granitepoint.limits.room import PATIENCE, YOUNG, Press, Stage, gives_way, late
 
 TRUE_RATE = 64_000  # bytes a second at which a slow true client writes
 
@@ -37,7 +38,7 @@
 
 @given(guests)
 def test_who_is_owed_an_answer_never_gives_way_and_the_idle_do_first(present: list[Guest]) -> None:
-    found = gives_way(present, 10.0)
+    found = next(iter(gives_way(present, 10.0)), None)
     idle = [guest for guest in present if guest.stage is Stage.IDLE]
     if idle:
         assert found is not None and found.stage is Stage.IDLE
@@ -56,9 +57,41 @@
     dripping = Guest(Stage.COMING, 9.1, 9.99, 12)
     fresh = Guest(Stage.COMING, 9.9, 9.9)
     for other in (half, silent, dripping):
-        assert gives_way([slow, other, fresh], 10.0) is other
-    assert gives_way([slow, fresh], 10.0) is slow
-    assert gives_way([Guest(Stage.COMING, 9.3, 9.8, 60), fresh], 10.0) is None
+        assert gives_way([slow, other, fresh], 10.0) == [other]
+    assert gives_way([slow, fresh], 10.0) == [slow]
+    assert gives_way([Guest(Stage.COMING, 9.3, 9.8, 60), fresh], 10.0) == []
+
+
+def test_of_the_young_those_give_way_that_lag_most_behind_a_true_client() -> None:
+    """None is old enough to be suspected by its silence alone, and places are wanted all the same."""
+    writing = Guest(Stage.COMING, 9.8, 9.8, 25)  # a quarter of a head at once: a slow true writer
+    dripping = Guest(Stage.COMING, 9.85, 9.99, 1)
+    silent = Guest(Stage.COMING, 9.9, 9.9)
+    fresh = Guest(Stage.COMING, 9.99, 9.99)
+    assert gives_way([writing, silent, fresh, dripping], 10.0, 4, SILENT) == [dripping, silent]
+    assert gives_way([writing, silent, fresh, dripping], 10.0, 4, 0.12) == [dripping]
+    assert late(0, 0.03, SILENT) and not late(0, 0.01, SILENT) and not late(100, 1.9, SILENT)
+
+
+@given(st.floats(1, 20_000), st.integers(1, 200))
+def test_patience_follows_the_pace_so_that_each_who_comes_finds_a_place(rate: float, places: int) -> None:
+    press = Press(places)
+    assert press.patience == YOUNG
+    for number in range(1000):
+        press.came(10, number * 10 / rate)
+    if number * 10 / rate > 5 * YOUNG:
+        held = rate * press.patience  # so many are inside at a time, if nobody says anything
+        assert press.patience == SILENT or held <= places * 1.1 + 10
+        assert press.patience == YOUNG or held >= places * 0.6 - 10 or press.patience == SILENT
+    press.came(0, 1000 / rate * 10 + 60)
+    assert press.patience == YOUNG
+
+
+@given(guests, st.integers(0, 5))
+def test_no_more_give_way_than_are_asked_for_and_none_twice(present: list[Guest], count: int) -> None:
+    found = gives_way(present, 10.0, count)
+    assert len({id(guest) for guest in found}) == len(found) <= count
+    assert found == gives_way(present, 10.0, len(present))[:count]
 
 
 @given(st.integers(64, 1024), st.integers(0, 30), st.booleans())
