--- a/granitepoint/rig/faults.py
+++ b/granitepoint/rig/faults.py
@@ -87,6 +87,11 @@
             steps.append(Step(fault.at, "load", "burst", "", until, fault.size))
         elif fault.kind == "peers":
             steps.append(Step(fault.at, "load", "peers", "", until, fault.rate, fault.manner))
+        elif fault.kind == "flood":
+            steps += [
+                Step(fault.at, "proxies", "flood", f"p{n}", until, fault.count, fault.manner)
+                for n in range(scenario.proxies.count)
+            ]
         elif fault.kind == "deploy":
             steps += _deploy(fault, tier, draws)
         elif fault.kind.startswith("discovery_") and fault.kind != "discovery_move":
--- a/granitepoint/rig/play.py
+++ b/granitepoint/rig/play.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from granitepoint.rig import faults, ledger, process
+from granitepoint.rig import faults, flood, ledger, process
 from granitepoint.rig.arrivals import Shape
 from granitepoint.rig.errors import RigError
 from granitepoint.rig.fleet import FleetPlan, Order
@@ -211,6 +211,13 @@
                 proxy.signal("stop")
                 await self._until(step)
                 proxy.signal("cont")
+            elif step.action == "flood":
+                target = f"127.0.0.1:{proxy.port}"
+                crowd = await flood.start(flood.Plan(manner=step.manner, target=target, count=int(step.size)))
+                try:
+                    await self._until(step)
+                finally:
+                    await process.end(crowd)
             elif step.action == "descriptors":
                 proxy.descriptors(int(step.size))
                 await self._until(step)
--- a/granitepoint/rig/scenario.py
+++ b/granitepoint/rig/scenario.py
@@ -13,6 +13,7 @@
 from granitepoint.net.hcl import Block, blocks_of
 from granitepoint.rig.arrivals import PROCESSES, SHAPES
 from granitepoint.rig.errors import ScenarioError
+from granitepoint.rig.flood import MANNERS as CROWDS
 from granitepoint.rig.model import Kind
 from granitepoint.rig.peers import MANNERS
 
@@ -44,6 +45,7 @@
         ("proxy_stop", "lasts", "count"),
         ("descriptors", "lasts size", "count"),
         ("peers", "lasts manner rate", ""),
+        ("flood", "lasts manner", "count"),
     )
 }
 
@@ -202,7 +204,7 @@
     kind: str = ""
     lasts: float = 0.0
     share: float = 1.0  # of the nodes
-    count: int = 1  # nodes or proxies
+    count: int = 1  # nodes or proxies; of a flood: connections to each proxy
     size: float = 1.0
     edge: float = 0.3
     fails: float = 0.7  # share of the requests that it touches
@@ -219,9 +221,9 @@
             raise ValueError(f"no such fault: {self.kind or '(no label)'}; there are {', '.join(FAULTS)}")
         self.within(0, 86_400, "at", "lasts", "back", "drain", "edge")
         self.within(0, 1, "share", "fails", "at_once")
-        self.within(1, 1000, "count")
+        self.within(1, 10_000 if self.kind == "flood" else 1000, "count")
         self.within(0, 1e6, "size", "rate")
-        manners = {"reset": RESETS, "peers": MANNERS}.get(self.kind)
+        manners = {"reset": RESETS, "peers": MANNERS, "flood": CROWDS}.get(self.kind)
         if manners is not None and self.manner not in manners:
             raise ValueError(f"manner must be one of {', '.join(manners)}")
 
