Prove by search that a duty has one holder: leases, tokens and turns without I/O

Need: the operators ask for duties that only one proxy holds; until now nothing can be said once for all proxies. Nothing that serves imports any of it.

--- /dev/null
+++ b/granitepoint/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Who holds what among several processes: pure, without I/O, clock or chance."""
--- /dev/null
+++ b/granitepoint/coordination/store.py
@@ -0,0 +1,314 @@
+"""The contract of the store that all processes reach, as the etcd v3 API publishes it (etcd.io/docs, "API
+reference", "API guarantees"): keys with revisions, transactions that compare and then write, leases, and what
+a watch is told.
+
+A write makes the store's next revision; all writes of a transaction share one. `LIMITS` are the published
+defaults of a server.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Literal
+
+MOST_OPERATIONS = 128  # of one transaction (--max-txn-ops)
+MOST_BYTES = 1_572_864  # of one request, 1.5 MiB (--max-request-bytes)
+
+
+class StoreError(Exception):
+    """A request that the store refuses; nothing of it was done."""
+
+
+class Compacted(StoreError):
+    """The revision asked for is not kept any more: whoever follows has to start over by a whole read."""
+
+    def __init__(self, compact_revision: int) -> None:
+        super().__init__("mvcc: required revision has been compacted")
+        self.compact_revision = compact_revision
+
+
+class NoLease(StoreError):
+    def __init__(self) -> None:
+        super().__init__("requested lease not found")
+
+
+class Full(StoreError):
+    def __init__(self) -> None:
+        super().__init__("mvcc: database space exceeded")
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    key: bytes
+    value: bytes
+    create_revision: int  # of the write that made it; again after a deletion: a new one
+    mod_revision: int  # of its last write
+    version: int  # writes since it was made, from 1
+    lease: int  # 0: none
+
+
+class Target(Enum):
+    VERSION = "version"
+    CREATE = "create_revision"
+    MOD = "mod_revision"
+    VALUE = "value"
+    LEASE = "lease"
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """A key that is not there has 0 for all figures; its value equals nothing."""
+
+    key: bytes
+    target: Target
+    relation: Literal["=", "!=", ">", "<"]
+    operand: int | bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Get:
+    """`end` empty: the one key; b"\\0": all keys from `key` on; else those below `end`. `revision` 0: now."""
+
+    key: bytes
+    end: bytes = b""
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    key: bytes
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    key: bytes
+    end: bytes = b""
+
+
+Operation = Get | Put | Delete
+
+
+@dataclass(frozen=True, slots=True)
+class Txn:
+    compare: tuple[Compare, ...]
+    success: tuple[Operation, ...]
+    failure: tuple[Operation, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """`found` has the keys of each Get in its place, and what a Delete removed; a Put has an empty one."""
+
+    revision: int
+    succeeded: bool
+    found: tuple[tuple[KeyValue, ...], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A put, or a deletion (`gone`): then `kv` has the key and the revision of the deletion alone."""
+
+    kv: KeyValue
+    gone: bool
+    before: KeyValue | None = None
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """The end of the range of all keys that begin so."""
+    kept = prefix.rstrip(b"\xff")
+    return kept[:-1] + bytes([kept[-1] + 1]) if kept else b"\0"
+
+
+def within(key: bytes, first: bytes, end: bytes) -> bool:
+    return key == first if not end else key >= first and (end == b"\0" or key < end)
+
+
+@dataclass(slots=True)
+class Granted:
+    id: int
+    ttl: int  # s
+    until: float  # by the store's clock
+
+
+class Model:
+    """A store in memory that obeys the contract. `now` is the store's own clock, in s, and passed in."""
+
+    def __init__(self, least_ttl: int = 1, quota: int = 0) -> None:
+        self.revision = 1
+        self.compacted = 0
+        self.keys: dict[bytes, KeyValue] = {}
+        self.log: list[Event] = []  # in the order of revisions, from `compacted` on
+        self.leases: dict[int, Granted] = {}
+        self.least_ttl, self.quota = least_ttl, quota
+        self.next_lease = 1
+
+    # reads
+    def get(self, asked: Get) -> tuple[KeyValue, ...]:
+        if asked.revision > self.revision:
+            raise StoreError("mvcc: required revision is a future revision")
+        if 0 < asked.revision < self.compacted:
+            raise Compacted(self.compacted)
+        keys = self.keys if asked.revision in (0, self.revision) else self._as_of(asked.revision)
+        if not asked.end:
+            found = keys.get(asked.key)
+            return () if found is None else (found,)
+        return tuple(keys[key] for key in sorted(keys) if within(key, asked.key, asked.end))
+
+    def _as_of(self, revision: int) -> dict[bytes, KeyValue]:
+        keys = dict(self.keys)
+        for event in reversed(self.log):
+            if event.kv.mod_revision <= revision:
+                break
+            if event.before is None:
+                del keys[event.kv.key]
+            else:
+                keys[event.kv.key] = event.before
+        return keys
+
+    def since(self, revision: int, key: bytes, end: bytes = b"") -> list[Event]:
+        """What a watch from this revision on is told first; raises Compacted."""
+        if revision <= self.compacted:
+            raise Compacted(self.compacted)
+        found = []
+        for event in reversed(self.log):
+            if event.kv.mod_revision < revision:
+                break
+            if within(event.kv.key, key, end):
+                found.append(event)
+        return found[::-1]
+
+    # writes
+    def txn(self, asked: Txn) -> Done:
+        """All or nothing; raises StoreError."""
+        for branch in (asked.success, asked.failure):
+            self._check(branch)
+        if max(len(asked.compare), len(asked.success), len(asked.failure)) > MOST_OPERATIONS:
+            raise StoreError("etcdserver: too many operations in txn request")
+        succeeded = all(self._true(compare) for compare in asked.compare)
+        chosen = asked.success if succeeded else asked.failure
+        for operation in chosen:
+            if isinstance(operation, Put) and operation.lease and operation.lease not in self.leases:
+                raise NoLease
+            if isinstance(operation, Put) and 0 < self.quota < self.size:
+                raise Full
+        own = self.revision + 1
+        found: list[tuple[KeyValue, ...]] = []
+        changed = False
+        for operation in chosen:
+            if isinstance(operation, Get):
+                found.append(self.get(operation))
+            elif isinstance(operation, Put):
+                self._put(operation, own)
+                found.append(())
+                changed = True
+            else:
+                gone = self.get(Get(operation.key, operation.end))
+                self._delete(gone, own)
+                found.append(gone)
+                changed |= bool(gone)
+        if changed:
+            self.revision = own
+        return Done(self.revision, succeeded, tuple(found))
+
+    def _check(self, branch: Sequence[Operation]) -> None:
+        written: set[bytes] = set()
+        for operation in branch:
+            if not operation.key:
+                raise StoreError("etcdserver: key is not provided")
+            if isinstance(operation, Put):
+                if operation.key in written:
+                    raise StoreError("etcdserver: duplicate key given in txn request")
+                written.add(operation.key)
+        for operation in branch:
+            if isinstance(operation, Delete) and any(
+                within(key, operation.key, operation.end) for key in written
+            ):
+                raise StoreError("etcdserver: duplicate key given in txn request")
+
+    def _true(self, compare: Compare) -> bool:
+        held = self.keys.get(compare.key)
+        if compare.target is Target.VALUE:
+            if held is None:
+                return False
+            value: int | bytes = held.value
+        else:
+            value = 0 if held is None else getattr(held, compare.target.value)
+        one, other = value, compare.operand
+        if compare.relation == "=":
+            return one == other
+        if compare.relation == "!=":
+            return one != other
+        return one > other if compare.relation == ">" else one < other  # type: ignore[operator]
+
+    @property
+    def size(self) -> int:
+        return sum(len(kv.key) + len(kv.value) for kv in self.keys.values())
+
+    def _put(self, asked: Put, revision: int) -> None:
+        before = self.keys.get(asked.key)
+        kv = KeyValue(
+            asked.key, asked.value, revision if before is None else before.create_revision, revision,
+            1 if before is None else before.version + 1, asked.lease,
+        )  # fmt: skip
+        self.keys[asked.key] = kv
+        self.log.append(Event(kv, False, before))
+
+    def _delete(self, gone: Sequence[KeyValue], revision: int) -> None:
+        for before in gone:
+            del self.keys[before.key]
+            self.log.append(Event(KeyValue(before.key, b"", 0, revision, 0, 0), True, before))
+
+    def compact(self, revision: int) -> None:
+        if revision <= self.compacted:
+            raise Compacted(self.compacted)
+        if revision > self.revision:
+            raise StoreError("mvcc: required revision is a future revision")
+        self.compacted = revision
+        self.log = [event for event in self.log if event.kv.mod_revision > revision]
+
+    # leases
+    def grant(self, ttl: int, now: float, id: int = 0) -> Granted:
+        if id in self.leases:
+            raise StoreError("etcdserver: lease already exists")
+        if not id:
+            while self.next_lease in self.leases:
+                self.next_lease += 1
+            id, self.next_lease = self.next_lease, self.next_lease + 1
+        ttl = max(ttl, self.least_ttl)
+        lease = self.leases[id] = Granted(id, ttl, now + ttl)
+        return lease
+
+    def keep_alive(self, id: int, now: float) -> int:
+        """The time to live from now on, in s; 0: there is no such lease."""
+        lease = self.leases.get(id)
+        if lease is None:
+            return 0
+        lease.until = now + lease.ttl
+        return lease.ttl
+
+    def revoke(self, id: int) -> None:
+        if self.leases.pop(id, None) is None:
+            raise NoLease
+        gone = [kv for key, kv in sorted(self.keys.items()) if kv.lease == id]
+        if gone:
+            self.revision += 1
+            self._delete(gone, self.revision)
+
+    def attached(self, id: int) -> list[bytes]:
+        return sorted(key for key, kv in self.keys.items() if kv.lease == id)
+
+    def expire(self, now: float) -> list[int]:
+        """Ends the leases whose time is over, and with them their keys."""
+        over = sorted(id for id, lease in self.leases.items() if lease.until <= now)
+        for id in over:
+            self.revoke(id)
+        return over
+
+    def prolong(self, now: float) -> None:
+        """A new leader starts each lease anew, since it can't know when it was last kept."""
+        for lease in self.leases.values():
+            lease.until = max(lease.until, now + lease.ttl)
--- /dev/null
+++ b/granitepoint/coordination/turns.py
@@ -0,0 +1,65 @@
+"""Whose turn it is to claim a duty that nobody holds: a preference that spreads duties, never a safeguard.
+
+Rendezvous hashing by duty and member (D. Thaler and C. Ravishankar, IEEE/ACM Transactions on Networking 6,
+1998), weighted by -w / ln(h) (as in J. Resch, "New hashing algorithms for data storage", SDC 2015): each
+member ranks all by itself and waits its rank's time. Two that claim at once harm nothing, since the store
+takes one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Iterable, Mapping
+
+FLAPS = 3  # incarnations within WINDOW from which a member gets no duty
+WINDOW = 60.0  # s, by the observer's own clock
+
+
+def score(duty: str, member: str, weight: float) -> float:
+    """The higher, the sooner; 0 for a weight of 0."""
+    if weight <= 0:
+        return 0.0
+    drawn = hashlib.blake2b(f"{duty}\0{member}".encode(), digest_size=8).digest()
+    return -weight / math.log((int.from_bytes(drawn) + 0.5) / 2**64)
+
+
+def order(duty: str, members: Mapping[str, float]) -> list[str]:
+    """Names by preference, with their weights given; those of no weight come last."""
+    return sorted(members, key=lambda name: (-score(duty, name, members[name]), name))
+
+
+def wait(duty: str, me: str, members: Mapping[str, float], pause: float) -> float:
+    """S that this member leaves a duty to those before it."""
+    ranked = order(duty, members)
+    return pause * (ranked.index(me) if me in ranked else len(ranked))
+
+
+def heir(duty: str, leaving: str, members: Mapping[str, float]) -> str:
+    """To whom a member that leaves hands a duty; empty: there is nobody."""
+    return next((name for name in order(duty, members) if name != leaving and members[name] > 0), "")
+
+
+class Flaps:
+    """Which members came and went too often lately to be given anything."""
+
+    def __init__(self) -> None:
+        self.came: dict[str, list[tuple[float, str]]] = {}
+
+    def seen(self, name: str, incarnation: str, now: float) -> None:
+        recent = [entry for entry in self.came.get(name, []) if now - entry[0] < WINDOW]
+        if all(other != incarnation for _, other in recent):
+            recent.append((now, incarnation))
+        self.came[name] = recent
+
+    def forget(self, now: float) -> None:
+        """Bounded by what came within the window."""
+        self.came = {
+            name: entries for name, entries in self.came.items() if now - entries[-1][0] < WINDOW
+        }  # fmt: skip
+
+    def weights(self, names: Iterable[str], now: float) -> dict[str, float]:
+        return {
+            name: 0.0 if sum(now - at < WINDOW for at, _ in self.came.get(name, [])) >= FLAPS else 1.0
+            for name in names
+        }
