--- a/granitepoint/cli/__init__.py
+++ b/granitepoint/cli/__init__.py
@@ -16,9 +16,10 @@
     "experiment": ("granitepoint.cli.experiment", "experiment"),
     "apps": ("granitepoint.cli.apps", "apps"),
     "routes": ("granitepoint.cli.routes", "routes"),
+    "fleet": ("granitepoint.cli.fleet", "fleet"),
     "demo": ("granitepoint.cli.demo", "demo"),
 }
-NEEDED = {"msgspec", "hdrh", "numpy", "matplotlib", "rich", "click", "re2", "xxhash"}
+NEEDED = {"msgspec", "hdrh", "numpy", "matplotlib", "rich", "click", "re2", "xxhash", "grpclib", "google"}
 
 
 class Lazy(click.Group):
@@ -61,6 +62,8 @@
     except ModuleNotFoundError as fault:
         if (fault.name or "").partition(".")[0] not in NEEDED:
             raise
-        print(f"gladegw: this command needs {fault.name}: pip install 'granitepoint[rig]'", file=sys.stderr)
+        extra = "coordination" if (fault.name or "").startswith(("grpclib", "google")) else "rig"
+        told = f"this command needs {fault.name}: pip install 'granitepoint[{extra}]'"
+        print(f"gladegw: {told}", file=sys.stderr)
         return 2
     return code if isinstance(code, int) else 0
--- a/granitepoint/cli/rig.py
+++ b/granitepoint/cli/rig.py
@@ -112,3 +112,21 @@
             await asyncio.sleep(lasts)
 
     run_async(stand())
+
+
+@rig.command("store")
+@click.option("--members", type=click.IntRange(1, 9), default=3, show_default=True)
+@click.option("--port", type=click.IntRange(1, 65_000), required=True,
+              help="Of the first; the others follow.")  # fmt: skip
+@click.option("--least-ttl", type=click.IntRange(1, 3600), default=1, show_default=True,
+              help="S that a lease is granted at least.")  # fmt: skip
+@click.option("--orders", is_flag=True, help="Take faults as lines on standard input, until it ends.")
+@mendable
+def store(members: int, port: int, least_ttl: int, orders: bool) -> None:
+    """A stand-in for the coordination store: the etcd v3 API over gRPC, on 127.0.0.1."""
+    from granitepoint.rig.store.server import serve
+
+    try:
+        run_async(serve(members, port, least_ttl, orders))
+    except OSError as fault:
+        raise RigError(f"port {port} and on: {fault.strerror or fault}") from None
--- /dev/null
+++ b/granitepoint/control/client.py
@@ -0,0 +1,178 @@
+"""A client of the store over the etcd v3 API (etcd.io/docs, "API reference"), by gRPC.
+
+All reads are linearizable: each is asked of a quorum, and a store that has none answers nobody. Where a read
+may be old, as for a page that a person looks at, `serializable` says so at its use.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any, TypeVar
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from granitepoint.control import messages
+from granitepoint.control.errors import RefusedByStore, StoreFault, Unreachable, WatchLost
+from granitepoint.control.wire import store_grpc as services
+from granitepoint.control.wire import store_pb2 as pb
+from granitepoint.coordination.store import Done, Event, Get, KeyValue, Operation, Txn
+
+log = logging.getLogger(__name__)
+
+# What a member says of itself, or of the way to the leader: another member may do better, and whether a write
+# was done is not known. Any other code is the store's own word on the request.
+ELSEWHERE = (Status.UNAVAILABLE, Status.DEADLINE_EXCEEDED, Status.CANCELLED, Status.UNKNOWN, Status.INTERNAL)
+
+T = TypeVar("T")
+
+
+class Client:
+    """Asks one member at a time and turns to the next when it fails."""
+
+    def __init__(self, endpoints: Sequence[tuple[str, int]], timeout: float, token_file: str = "") -> None:
+        """`timeout`: s for each call of one member. The token's file is read for each connection."""
+        self.endpoints, self.timeout, self.token_file = list(endpoints), timeout, token_file
+        self.at = 0
+        self.channel: Channel | None = None
+        self.calls = 0
+
+    def _open(self) -> Channel:
+        if self.channel is None:
+            host, port = self.endpoints[self.at % len(self.endpoints)]
+            self.channel = Channel(host, port)
+        return self.channel
+
+    def _metadata(self) -> dict[str, str]:
+        if not self.token_file:
+            return {}
+        try:
+            return {"token": Path(self.token_file).read_text(encoding="utf-8").strip()}
+        except (OSError, UnicodeDecodeError) as fault:
+            raise RefusedByStore(f"{self.token_file}: {getattr(fault, 'strerror', None) or fault}") from None
+
+    def elsewhere(self) -> None:
+        """The next call goes to another member."""
+        self.at += 1
+        self.close()
+
+    def close(self) -> None:
+        if self.channel is not None:
+            self.channel.close()
+            self.channel = None
+
+    async def _call(self, ask: Callable[[Channel, dict[str, str]], Awaitable[T]]) -> T:
+        """One try of one member; raises StoreFault."""
+        self.calls += 1
+        try:
+            async with asyncio.timeout(self.timeout):
+                return await ask(self._open(), self._metadata())
+        except GRPCError as fault:
+            if fault.status in ELSEWHERE:
+                self.elsewhere()
+                raise Unreachable(fault.message or fault.status.name.lower()) from None
+            raise RefusedByStore(fault.message or fault.status.name.lower()) from None
+        except (OSError, ProtocolError, StreamTerminatedError, EOFError) as fault:
+            self.elsewhere()
+            why = " ".join(str(fault).split()) or type(fault).__name__
+            raise Unreachable("no answer in time" if isinstance(fault, TimeoutError) else why) from None
+        except StoreFault:
+            raise
+        except Exception as fault:  # what came was no answer of the protocol
+            self.elsewhere()
+            raise Unreachable(f"rubbish: {type(fault).__name__}") from None
+
+    async def txn(self, txn: Txn) -> Done:
+        asked = messages.txn_message(txn)
+        reply = await self._call(lambda channel, told: services.KVStub(channel).Txn(asked, metadata=told))
+        found = tuple(messages.found_in(part) for part in reply.responses)
+        return Done(reply.header.revision, reply.succeeded, found)
+
+    async def do(self, *operations: Operation) -> Done:
+        return await self.txn(Txn((), operations))
+
+    async def get(self, asked: Get, serializable: bool = False) -> tuple[int, tuple[KeyValue, ...]]:
+        """The store's revision and what it has."""
+        message = pb.RangeRequest(
+            key=asked.key, range_end=asked.end, revision=asked.revision, serializable=serializable
+        )
+        reply = await self._call(lambda channel, told: services.KVStub(channel).Range(message, metadata=told))
+        return reply.header.revision, tuple(messages.pair(kv) for kv in reply.kvs)
+
+    async def grant(self, ttl: int) -> tuple[int, int]:
+        """A lease's id, and the time to live that the store gives: no less than it likes to."""
+        message = pb.LeaseGrantRequest(TTL=ttl)
+        reply = await self._call(
+            lambda channel, told: services.LeaseStub(channel).LeaseGrant(message, metadata=told)
+        )
+        return reply.ID, reply.TTL
+
+    async def keep_alive(self, id: int) -> int:
+        """The time to live from now on; 0: there is no such lease."""
+
+        async def ask(channel: Channel, told: dict[str, str]) -> int:
+            method = services.LeaseStub(channel).LeaseKeepAlive
+            async with method.open(metadata=told) as stream:
+                await stream.send_message(pb.LeaseKeepAliveRequest(ID=id), end=True)
+                reply = await stream.recv_message()
+                if reply is None:
+                    raise Unreachable("a renewal was not answered")
+                return int(reply.TTL)
+
+        return await self._call(ask)
+
+    async def revoke(self, id: int) -> None:
+        message = pb.LeaseRevokeRequest(ID=id)
+        await self._call(
+            lambda channel, told: services.LeaseStub(channel).LeaseRevoke(message, metadata=told)
+        )
+
+    async def status(self) -> Any:
+        return await self._call(
+            lambda channel, told: services.MaintenanceStub(channel).Status(pb.StatusRequest(), metadata=told)
+        )
+
+    async def watch(
+        self, key: bytes, end: bytes, revision: int, silence: float
+    ) -> AsyncIterator[tuple[int, list[Event]]]:
+        """What changes from this revision on: the store's revision and the events that lead up to it. Raises
+        WatchLost when it ends, or when nothing came for `silence` s although the store was asked: a watch
+        that is cut off looks like one with nothing to tell."""
+        create = pb.WatchCreateRequest(
+            key=key, range_end=end, start_revision=revision, progress_notify=True, prev_kv=True
+        )
+        stub = services.WatchStub(self._open())
+        held: list[Event] = []
+        try:
+            async with stub.Watch.open(metadata=self._metadata()) as stream:
+                await stream.send_message(pb.WatchRequest(create_request=create))
+                asked = False
+                while True:
+                    try:
+                        async with asyncio.timeout(silence / 2):
+                            reply = await stream.recv_message()
+                    except TimeoutError:
+                        if asked:
+                            raise WatchLost("it fell silent") from None
+                        asked = True
+                        progress = pb.WatchProgressRequest()
+                        await stream.send_message(pb.WatchRequest(progress_request=progress))
+                        continue
+                    asked = False
+                    if reply is None:
+                        raise WatchLost("it ended")
+                    if reply.canceled:
+                        why = reply.cancel_reason or "it was cancelled"
+                        raise WatchLost(why, bool(reply.compact_revision))
+                    held += [messages.event(event) for event in reply.events]
+                    if reply.fragment or reply.created:
+                        continue
+                    told, held = held, []
+                    yield reply.header.revision, told
+        except (GRPCError, OSError, ProtocolError, StreamTerminatedError) as fault:
+            why = (fault.message or "") if isinstance(fault, GRPCError) else " ".join(str(fault).split())
+            raise WatchLost(why or type(fault).__name__) from None
--- /dev/null
+++ b/granitepoint/control/duties/base.py
@@ -0,0 +1,44 @@
+"""What a duty is: begun when it is held, stepped through while it is, ended when it is not any more."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import Protocol
+
+from granitepoint.control.view import View
+from granitepoint.coordination.store import Done, Operation
+
+
+class NotHeld(Exception):
+    """The effect was not begun, or the store refused it: the duty is not held (any more)."""
+
+
+class Holding(Protocol):
+    """What a duty may do while it is held under `token`."""
+
+    @property
+    def token(self) -> int: ...
+
+    @property
+    def view(self) -> View: ...
+
+    async def effect(self, *operations: Operation) -> Done:
+        """Writes to the store, if the duty is held right before and, by the store's word, in the same
+        transaction. Raises NotHeld, or StoreFault where the outcome is not known."""
+
+
+class Work(ABC):
+    """`period`: s from the end of one step to the begin of the next. A duty that is not held has nothing
+    under way: `end` is called once its step is cancelled."""
+
+    name = ""
+    period = 1.0
+
+    async def begin(self, holding: Holding) -> None:  # noqa: B027
+        """Before the first step of a holder."""
+
+    @abstractmethod
+    async def step(self, holding: Holding) -> None: ...
+
+    def end(self) -> None:  # noqa: B027
+        """What was kept for the steps can be forgotten; nothing is written any more."""
--- /dev/null
+++ b/granitepoint/control/duties/compare.py
@@ -0,0 +1,47 @@
+"""`compare`: whether all members work by the same list of backends and the same routes."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from granitepoint.control.duties.base import Holding, Work
+from granitepoint.control.view import View
+from granitepoint.coordination.records import Differences, encode
+from granitepoint.coordination.store import Put
+
+
+def groups(view: View, field: str) -> dict[str, tuple[str, ...]]:
+    """Names by the digest that they work by; empty where there is one at most. Only members of one zone's or
+    one tier's table are alike; what differs by design shows here as well."""
+    found: dict[str, list[str]] = {}
+    for name, figures in sorted(view.figures().items()):
+        digest = getattr(figures, field)
+        if digest:
+            found.setdefault(digest, []).append(name)
+    return {digest: tuple(names) for digest, names in found.items()} if len(found) > 1 else {}
+
+
+class Compare(Work):
+    name = "compare"
+    period = 1.0
+
+    def __init__(self) -> None:
+        self.last: Differences | None = None
+
+    async def step(self, holding: Holding) -> None:
+        view = holding.view
+        key = view.at.fleet("compare")
+        discovery, routes = groups(view, "discovery"), groups(view, "routes")
+        before = self.last or view.read(key, Differences)
+        since = 0.0
+        if discovery or routes:
+            since = before.since if before is not None and before.since else time.time()
+        now = Differences(token=holding.token, discovery=discovery, routes=routes, since=since)
+        if self.last is None or msgspec.structs.replace(now, token=self.last.token) != self.last:
+            await holding.effect(Put(key, encode(now)))
+            self.last = now
+
+    def end(self) -> None:
+        self.last = None
--- /dev/null
+++ b/granitepoint/control/duties/digest.py
@@ -0,0 +1,49 @@
+"""`digest`: one record of the whole fleet out of every member's figures."""
+
+from __future__ import annotations
+
+from granitepoint.control.duties.base import Holding, Work
+from granitepoint.control.view import View
+from granitepoint.coordination.records import Figures, Fleet, encode
+from granitepoint.coordination.store import Put
+
+WORST = 5
+
+
+def unserved(figures: dict[str, int]) -> float:
+    """Share of the requests that ended and were not served; 0 where none ended."""
+    ended = {end: sum(value for name, value in figures.items() if name.endswith("." + end))
+             for end in ("passed", "dropped", "bad_gateway")}  # fmt: skip
+    total = sum(ended.values())
+    return 1 - ended["passed"] / total if total else 0.0
+
+
+def made(view: View, token: int) -> Fleet:
+    members = sorted({member.name for _, member in view.members()})
+    told: dict[str, Figures] = view.figures()
+    totals: dict[str, int] = {}
+    for name in members:
+        for figure, value in told[name].figures.items() if name in told else ():
+            totals[figure] = totals.get(figure, 0) + value
+    ranked = sorted(((name, round(unserved(told[name].figures), 4)) for name in members if name in told),
+                    key=lambda entry: (-entry[1], entry[0]))  # fmt: skip
+    worst = tuple(entry for entry in ranked[:WORST] if entry[1] > 0)
+    silent = tuple(name for name in members if name not in told)
+    return Fleet(token=token, members=len(members), totals=totals, worst=worst, silent=silent)
+
+
+class Digest(Work):
+    name = "digest"
+    period = 1.0
+
+    def __init__(self) -> None:
+        self.last: Fleet | None = None
+
+    async def step(self, holding: Holding) -> None:
+        fleet = made(holding.view, holding.token)
+        if fleet != self.last:
+            await holding.effect(Put(holding.view.at.fleet("digest"), encode(fleet)))
+            self.last = fleet
+
+    def end(self) -> None:
+        self.last = None
--- /dev/null
+++ b/granitepoint/control/duties/sweeper.py
@@ -0,0 +1,36 @@
+"""`sweeper`: notes when a member was lost, and removes what the long dead left."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from granitepoint.control.duties.base import Holding, Work
+from granitepoint.coordination.records import encode
+from granitepoint.coordination.store import Delete, Operation, Put
+
+KEEP = 24 * 3600.0  # s for which a member that was lost is missed
+MOST = 32  # members looked after in one step, well below the operations of one transaction
+
+
+class Sweeper(Work):
+    name = "sweeper"
+    period = 1.0
+
+    async def step(self, holding: Holding) -> None:
+        """`lost` is shown to people; nothing is decided by it but when a name is forgotten, which harms
+        nobody: a member that comes back is known again."""
+        view, now = holding.view, time.time()
+        live = {member.name for _, member in view.members()}
+        done: list[Operation] = []
+        for kv, known in view.known():
+            if known.name in live:
+                if known.lost:
+                    done.append(Put(kv.key, encode(msgspec.structs.replace(known, lost=0.0), kv.value)))
+            elif not known.lost:
+                done.append(Put(kv.key, encode(msgspec.structs.replace(known, lost=now), kv.value)))
+            elif now - known.lost > KEEP:
+                done.append(Delete(kv.key))
+        if done:
+            await holding.effect(*done[:MOST])
--- /dev/null
+++ b/granitepoint/control/errors.py
@@ -0,0 +1,23 @@
+"""What can go wrong between a process and the store."""
+
+from __future__ import annotations
+
+
+class StoreFault(Exception):
+    """One line."""
+
+
+class Unreachable(StoreFault):
+    """No member of the store answered; nothing is known of what was sent: a write may have been done."""
+
+
+class RefusedByStore(StoreFault):
+    """The store answered that it won't: nothing was done."""
+
+
+class WatchLost(StoreFault):
+    """A watch ended; `compacted` if what it missed is not kept any more."""
+
+    def __init__(self, reason: str, compacted: bool = False) -> None:
+        super().__init__(reason)
+        self.compacted = compacted
--- /dev/null
+++ b/granitepoint/control/fleet.py
@@ -0,0 +1,65 @@
+"""What is told of a fleet: members, duties, the fleet's own records, out of one read of the store."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from granitepoint.control.client import Client
+from granitepoint.control.keys import Keys
+from granitepoint.control.view import View
+from granitepoint.coordination.records import Differences, Fleet
+from granitepoint.coordination.store import Get
+
+
+async def read(client: Client, prefix: str) -> View:
+    """Raises StoreFault. The read is linearizable: operators act on what they see."""
+    view = View(Keys(prefix))
+    revision, found = await client.get(Get(*view.at.all))
+    view.whole(revision, found)
+    return view
+
+
+def _since(at: float) -> float:
+    return round(max(0.0, time.time() - at), 1) if at else 0.0
+
+
+def members(view: View) -> list[dict[str, Any]]:
+    """Who is there, and who is missing; `since_s` by the clocks of those who wrote it down."""
+    told = [
+        {"name": member.name, "incarnation": member.incarnation, "version": member.version,
+         "zone": member.zone, "state": member.state, "since_s": _since(member.since)}
+        for _, member in view.members()
+    ] + [
+        {"name": known.name, "incarnation": "", "version": "", "zone": known.zone, "state": "missing",
+         "since_s": _since(known.lost)}
+        for known in view.missing()
+    ]  # fmt: skip
+    return sorted(told, key=lambda member: (str(member["name"]), str(member["incarnation"])))
+
+
+def duties(view: View) -> list[dict[str, Any]]:
+    """Also those that nobody holds, if some member knows them."""
+    held = {view.at.split(kv.key)[1]: (kv, holder) for kv, holder in view.holders()}
+    names = sorted(held.keys() | {name for _, member in view.members() for name in member.can})
+    return [
+        {"name": name, "holder": held[name][1].holder, "token": held[name][0].create_revision,
+         "since_s": _since(held[name][1].since)} if name in held
+        else {"name": name, "holder": None, "token": 0, "since_s": 0.0}
+        for name in names
+    ]  # fmt: skip
+
+
+def status(view: View) -> dict[str, Any]:
+    fleet = view.read(view.at.fleet("digest"), Fleet)
+    differs = view.read(view.at.fleet("compare"), Differences)
+    return {
+        "members": len(view.members()),
+        "missing": [known.name for known in view.missing()],
+        "totals": fleet.totals if fleet is not None else {},
+        "worst": [{"name": name, "unserved": share} for name, share in fleet.worst] if fleet else [],
+        "silent": list(fleet.silent) if fleet is not None else [],
+        "discovery": {digest: list(names) for digest, names in differs.discovery.items()} if differs else {},
+        "routes": {digest: list(names) for digest, names in differs.routes.items()} if differs else {},
+        "differ_since_s": _since(differs.since) if differs is not None else 0.0,
+    }
--- /dev/null
+++ b/granitepoint/control/keeper.py
@@ -0,0 +1,169 @@
+"""One duty at this process: its machine's actions carried out against the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from granitepoint.control.duties.base import NotHeld, Work
+from granitepoint.control.errors import StoreFault
+from granitepoint.coordination import duty as duties
+from granitepoint.coordination.duty import Action, Duty, Event, Phase
+from granitepoint.coordination.records import Heir, Holder, encode
+from granitepoint.coordination.store import Done, Get, KeyValue, Operation, Put
+
+if TYPE_CHECKING:
+    from granitepoint.control.agent import Agent
+
+log = logging.getLogger(__name__)
+
+AGAIN = 0.2  # s until a request whose outcome is not known is looked into again
+
+
+class Keeper:
+    """`told` is called with (token, begun) at each begin and end, for the record of a test or a rig."""
+
+    def __init__(self, agent: Agent, work: Work, told: Callable[[str, int, bool], None]) -> None:
+        self.agent, self.work, self.told = agent, work, told
+        self.key = agent.keys.duty(work.name)
+        self.duty = Duty()
+        self.view = agent.view
+        self.acting: set[asyncio.Task[None]] = set()
+        self.working: asyncio.Task[None] | None = None
+        self.turn: asyncio.TimerHandle | None = None
+        self.left = False  # handed over for good: no further claim
+
+    @property
+    def token(self) -> int:
+        return self.duty.token
+
+    # what the store says
+    def hear(self, found: KeyValue | None, revision: int) -> None:
+        """The key as some word of the store has it, at this revision."""
+        token, held_by = (found.create_revision, found.lease) if found is not None else (0, 0)
+        event = duties.heard(token, held_by, self.agent.lease)
+        self.on(event, token, revision)
+
+    def on(self, event: Event, token: int = 0, revision: int = 0) -> None:
+        before = self.duty
+        self.duty, actions = duties.step(before, event, token, revision)
+        for action in actions:
+            if action is Action.BEGIN:
+                self._begin()
+            elif action is Action.END:
+                self._end(before.token)
+            else:
+                self._act(action)
+        self.look()
+
+    def look(self) -> None:
+        """Whether it is this process's turn to claim, now or in a moment."""
+        vacant = self.key not in self.view.keys and self.view.revision >= self.duty.seen
+        may = vacant and self.duty.phase is Phase.RESTING and self.agent.able and not self.left
+        if not may:
+            if self.turn is not None:
+                self.turn.cancel()
+                self.turn = None
+        elif self.turn is None:
+            wait = self.agent.wait(self.work.name)
+            self.turn = self.agent.loop.call_later(wait, self._turn)
+
+    def _turn(self) -> None:
+        self.turn = None
+        if self.key not in self.view.keys and self.agent.able and not self.left:
+            self.on(Event.TURN)
+
+    # actions
+    def _act(self, action: Action) -> None:
+        task = self.agent.loop.create_task(self._asked(action))
+        self.acting.add(task)
+        task.add_done_callback(self.acting.discard)
+
+    async def _asked(self, action: Action) -> None:
+        agent = self.agent
+        lease = agent.lease.id
+        try:
+            if action is Action.READ:
+                await asyncio.sleep(AGAIN)
+                revision, found = await agent.client.get(Get(self.key))  # linearizable: a claim hangs on it
+                self.hear(found[0] if found else None, revision)
+                return
+            if action is Action.CLAIM:
+                record = Holder(holder=agent.name, incarnation=agent.incarnation, since=time.time())
+                done = await agent.client.txn(duties.claim(self.key, encode(record), lease))
+                if done.succeeded:
+                    event = duties.heard(done.revision, lease, agent.lease)
+                    self.on(event, done.revision, done.revision)
+                    return
+            else:
+                heir = agent.heir(self.work.name)
+                also = (Put(agent.keys.heir(self.work.name), encode(Heir(name=heir))),) if heir else ()
+                done = await agent.client.txn(duties.give_back(self.key, lease, also))
+                if done.succeeded:
+                    self.on(Event.NOBODY, 0, done.revision)
+                    return
+            self.hear(done.found[0][0] if done.found[0] else None, done.revision)
+        except StoreFault as fault:
+            agent.trouble(f"{self.work.name}: {action.value}: {fault}")
+            if action is Action.GIVE_BACK:
+                await asyncio.sleep(AGAIN)
+            self.on(Event.UNKNOWN)
+
+    # the work
+    async def effect(self, *operations: Operation) -> Done:
+        token = self.duty.token
+        if not duties.may_act(self.duty, self.agent.lease, self.agent.clock()):
+            raise NotHeld(self.work.name)
+        done = await self.agent.client.txn(duties.fenced(self.key, token, *operations))
+        if not done.succeeded:
+            self.hear(done.found[0][0] if done.found[0] else None, done.revision)
+            raise NotHeld(self.work.name)
+        return done
+
+    def _begin(self) -> None:
+        self.told(self.work.name, self.duty.token, True)
+        log.warning("coordination: holds %s, token %d", self.work.name, self.duty.token)
+        self.working = self.agent.loop.create_task(self._work(self.duty.token))
+
+    def _end(self, token: int) -> None:
+        self.told(self.work.name, token, False)
+        log.warning("coordination: holds %s no more, token %d", self.work.name, token)
+        working, self.working = self.working, None
+        if working is not None:
+            working.cancel()
+        self.work.end()
+
+    async def _work(self, token: int) -> None:
+        try:
+            await self.work.begin(self)
+        except NotHeld:
+            return
+        except StoreFault as fault:
+            self.agent.trouble(f"{self.work.name}: {fault}")
+        while self.duty.token == token:
+            try:
+                await self.work.step(self)
+            except NotHeld:
+                pass  # what it was is heard of by the same answer, or found by the bound
+            except StoreFault as fault:
+                self.agent.trouble(f"{self.work.name}: {fault}")
+            except Exception:
+                log.exception("coordination: %s", self.work.name)
+            await asyncio.sleep(self.work.period)
+
+    def leave(self) -> None:
+        self.left = True
+        self.on(Event.LEAVE)
+
+    @property
+    def settled(self) -> bool:
+        return self.duty.phase is Phase.RESTING and not self.acting
+
+    def stop(self) -> None:
+        for task in (*self.acting, *([self.working] if self.working is not None else [])):
+            task.cancel()
+        if self.turn is not None:
+            self.turn.cancel()
--- /dev/null
+++ b/granitepoint/control/messages.py
@@ -0,0 +1,100 @@
+"""The contract's operations as messages of the published protocol, and back. The stand-in and the client
+share it, so the stand-in is checked by clients that others wrote, too."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from granitepoint.control.wire import store_pb2 as pb
+from granitepoint.coordination import store
+from granitepoint.coordination.store import Compare, Delete, Get, KeyValue, Operation, Put, Target, Txn
+
+TARGETS = [Target.VERSION, Target.CREATE, Target.MOD, Target.VALUE, Target.LEASE]  # by their numbers
+RELATIONS = ["=", ">", "<", "!="]
+
+
+def pair(kv: Any) -> KeyValue:
+    return KeyValue(kv.key, kv.value, kv.create_revision, kv.mod_revision, kv.version, kv.lease)
+
+
+def pair_message(kv: KeyValue, keys_only: bool = False) -> Any:
+    return pb.KeyValue(
+        key=kv.key, value=b"" if keys_only else kv.value, create_revision=kv.create_revision,
+        mod_revision=kv.mod_revision, version=kv.version, lease=kv.lease,
+    )  # fmt: skip
+
+
+def operation_message(operation: Operation) -> Any:
+    if isinstance(operation, Get):
+        asked = pb.RangeRequest(key=operation.key, range_end=operation.end, revision=operation.revision)
+        return pb.RequestOp(request_range=asked)
+    if isinstance(operation, Put):
+        put = pb.PutRequest(key=operation.key, value=operation.value, lease=operation.lease)
+        return pb.RequestOp(request_put=put)
+    return pb.RequestOp(
+        request_delete_range=pb.DeleteRangeRequest(key=operation.key, range_end=operation.end, prev_kv=True)
+    )
+
+
+def txn_message(txn: Txn) -> Any:
+    return pb.TxnRequest(
+        compare=[_compare_message(compare) for compare in txn.compare],
+        success=[operation_message(operation) for operation in txn.success],
+        failure=[operation_message(operation) for operation in txn.failure],
+    )
+
+
+def _compare_message(compare: Compare) -> Any:
+    parts: dict[str, Any] = {
+        "result": RELATIONS.index(compare.relation), "target": TARGETS.index(compare.target),
+        "key": compare.key, compare.target.value: compare.operand,
+    }  # fmt: skip
+    return pb.Compare(**parts)
+
+
+def compare(message: Any) -> Compare:
+    """Raises StoreError for what the contract has no word for."""
+    if message.range_end:
+        raise store.StoreError("etcdserver: a compare over a range is not served here")
+    target = TARGETS[message.target]
+    relation: Any = RELATIONS[message.result]
+    return Compare(message.key, target, relation, getattr(message, target.value))
+
+
+def operation(message: Any) -> Operation:
+    """Raises StoreError."""
+    kind = message.WhichOneof("request")
+    if kind == "request_range":
+        asked = message.request_range
+        return Get(asked.key, asked.range_end, asked.revision)
+    if kind == "request_put":
+        put = message.request_put
+        if put.ignore_value or put.ignore_lease:
+            raise store.StoreError("etcdserver: ignore_value and ignore_lease are not served here")
+        return Put(put.key, put.value, put.lease)
+    if kind == "request_delete_range":
+        return Delete(message.request_delete_range.key, message.request_delete_range.range_end)
+    raise store.StoreError("etcdserver: transactions in transactions are not served here")
+
+
+def txn(message: Any) -> Txn:
+    return Txn(
+        tuple(compare(item) for item in message.compare),
+        tuple(operation(item) for item in message.success),
+        tuple(operation(item) for item in message.failure),
+    )
+
+
+def found_in(message: Any) -> tuple[KeyValue, ...]:
+    """What a part of a transaction's answer holds."""
+    kind = message.WhichOneof("response")
+    if kind == "response_range":
+        return tuple(pair(kv) for kv in message.response_range.kvs)
+    if kind == "response_delete_range":
+        return tuple(pair(kv) for kv in message.response_delete_range.prev_kvs)
+    return ()
+
+
+def event(message: Any) -> store.Event:
+    before = pair(message.prev_kv) if message.HasField("prev_kv") else None
+    return store.Event(pair(message.kv), message.type == pb.Event.DELETE, before)
--- a/granitepoint/net/features.py
+++ b/granitepoint/net/features.py
@@ -9,7 +9,7 @@
 from granitepoint.net import hcl
 from granitepoint.net.addresses import AddressSettings
 from granitepoint.net.capture import CaptureSettings
-from granitepoint.net.config import ConfigError
+from granitepoint.net.config import ConfigError, address
 from granitepoint.net.figures import FiguresSettings
 from granitepoint.net.tls import TlsSettings
 
@@ -33,6 +33,32 @@
             raise ValueError(f"mirrors must be 1 to 10000, not {self.mirrors}")
 
 
+@dataclass(frozen=True, slots=True)
+class CoordinationSettings:
+    """The store that all proxies of an installation reach. Here and not beside its code, as with routes."""
+
+    endpoints: tuple[str, ...] = ()
+    prefix: str = ""
+    ttl_s: int = 5  # of the lease under which this process is a member and holds duties
+    timeout_ms: int = 1000  # for each call
+    token_file: str = ""
+
+    def __post_init__(self) -> None:
+        if not self.endpoints:
+            raise ValueError("endpoints must name the store's addresses")
+        if not self.prefix.startswith("/") or self.prefix.rstrip("/") == "":
+            raise ValueError("prefix must begin with a slash and name something")
+        if not 1 <= self.ttl_s <= 3600:
+            raise ValueError(f"ttl_s must be 1 to 3600, not {self.ttl_s}")
+        if not 50 <= self.timeout_ms <= 60_000:
+            raise ValueError(f"timeout_ms must be 50 to 60000, not {self.timeout_ms}")
+        _ = self.addresses
+
+    @property
+    def addresses(self) -> tuple[tuple[str, int], ...]:
+        return tuple(address(text) for text in self.endpoints)
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     figures: FiguresSettings | None = None
@@ -40,6 +66,7 @@
     capture: CaptureSettings | None = None
     addresses: AddressSettings | None = None
     routes: RoutesSettings | None = None
+    coordination: CoordinationSettings | None = None
 
     def __bool__(self) -> bool:
         return any(getattr(self, field.name) is not None for field in dataclasses.fields(self))
@@ -47,7 +74,7 @@
 
 BLOCKS: dict[str, Any] = {
     "figures": FiguresSettings, "tls": TlsSettings, "capture": CaptureSettings, "addresses": AddressSettings,
-    "routes": RoutesSettings,
+    "routes": RoutesSettings, "coordination": CoordinationSettings,
 }  # fmt: skip
 
 
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -21,7 +21,7 @@
 from granitepoint.net.config import Config, ConfigError, discovery_now, load
 from granitepoint.net.drain import Drain
 from granitepoint.net.driver import Driver
-from granitepoint.net.features import Features, RoutesSettings
+from granitepoint.net.features import CoordinationSettings, Features, RoutesSettings
 from granitepoint.net.figures import Figures
 from granitepoint.net.peer import Asked
 from granitepoint.net.server import Server
@@ -32,6 +32,7 @@
 from granitepoint.operators.lifecycle import Event, Lifecycle, State
 
 if TYPE_CHECKING:
+    from granitepoint.control.agent import Agent
     from granitepoint.net.routes import Pools
 
 LAST_LINES = 0.5  # s for each target of figures or logs to take what is held at the end
@@ -59,6 +60,15 @@
     return Pools(settings, config, capture)
 
 
+def joined(settings: CoordinationSettings, config: Config, driver: Driver | Pools) -> Agent:
+    from granitepoint.control.start import joined
+
+    def routes() -> str:
+        return "" if isinstance(driver, Driver) else driver.digest
+
+    return joined(settings, config, driver.desk.ledger, lambda: list(driver.desk.upstreams.by_id), routes)
+
+
 async def informed(driver: Driver | Pools, term: asyncio.Event) -> None:
     """The older process serves meanwhile, so this one can wait until it knows what discovery tells now and
     has heard from a backend. If neither speaks in time, it serves as it would alone."""
@@ -96,7 +106,14 @@
         lambda: life.state is State.READY and driver.ready(), driver.desk.scratch,
     )  # fmt: skip
     draining = Drain(server, lambda: len(driver.calls) if isinstance(driver, Driver) else driver.calls)
-    life.changed = draining.told
+    agent = joined(features.coordination, config, driver) if features.coordination is not None else None
+
+    def changed(state: State) -> None:
+        draining.told(state)
+        if agent is not None:
+            agent.tell_state(state.value)
+
+    life.changed = changed
     watchers: list[Watcher[Asked]] = []
     figures = Figures(features.figures, config.settings) if features.figures is not None else None
     if figures is not None:
@@ -131,6 +148,8 @@
     await term.wait()
     life.on(Event.TERMINATE)
     await draining.leave()
+    if agent is not None:
+        await loop.run_in_executor(None, agent.leave)
     driver.stop()
     if admin is not None:
         admin.close()
--- /dev/null
+++ b/granitepoint/rig/store/cluster.py
@@ -0,0 +1,163 @@
+"""The stand-in store's members by a stated model, not by a consensus algorithm: one model holds the truth;
+what a member may do follows from who is up, who leads, and what is cut.
+
+- Writes, leases and linearizable reads need a leader and a majority that reach each other.
+- A serializable read is answered by any member out of what had been told to it when it was cut off.
+- When the leader is lost there is none for `election` s; the new one starts every lease anew.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from granitepoint.coordination.store import Done, Get, KeyValue, Model, Txn
+
+NO_LEADER = "etcdserver: no leader"
+TIMED_OUT = "etcdserver: request timed out"
+
+
+class NotNow(Exception):
+    """A member can't answer; `done` tells the rig whether the write took place all the same."""
+
+
+@dataclass(slots=True)
+class Machine:
+    """`cut`: from the other members. `stale`: the revision up to which it was told, while it is cut."""
+
+    up: bool = True
+    cut: bool = False
+    stale: int = 0
+    watches: set[asyncio.Event] = field(default_factory=set)
+
+
+class Cluster:
+    def __init__(
+        self, members: int, least_ttl: int = 1, election: float = 0.5,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:  # fmt: skip
+        self.model = Model(least_ttl=least_ttl)
+        self.machines = [Machine() for _ in range(members)]
+        self.leader: int | None = 0
+        self.term = 1
+        self.election, self.clock = election, clock
+        self.ahead = 0.0  # s by which the store's clock was set forward
+        self.slow = 0.0  # s that each write takes longer
+        self.unanswered = 0  # writes that will be done and not answered
+        self.token = ""  # that callers have to show
+        self.rubbish = False
+        self.calls = 0
+        self.electing: asyncio.Task[None] | None = None
+
+    @property
+    def now(self) -> float:
+        return self.clock() + self.ahead
+
+    def quorum(self) -> bool:
+        return 2 * sum(m.up and not m.cut for m in self.machines) > len(self.machines)
+
+    def led(self, member: int) -> bool:
+        """Whether this member reaches a leader that a majority follows."""
+        machine = self.machines[member]
+        return machine.up and not machine.cut and self.leader is not None and self.quorum()
+
+    # faults
+    def down(self, member: int) -> None:
+        self.machines[member].up = False
+        self._wake(member)
+        self._lost(member)
+
+    def up(self, member: int) -> None:
+        """A restart with the data kept."""
+        self.machines[member].up = True
+        self._elect()
+
+    def cut(self, member: int) -> None:
+        machine = self.machines[member]
+        machine.cut, machine.stale = True, self.model.revision
+        self._lost(member)
+
+    def heal(self, member: int) -> None:
+        self.machines[member].cut = False
+        self._wake(member)
+        self._elect()
+
+    def depose(self) -> None:
+        """The leader is lost to the others for a moment, and another is elected."""
+        if self.leader is not None:
+            self._lost(self.leader)
+
+    def cut_watches(self) -> None:
+        for machine in self.machines:
+            watches, machine.watches = machine.watches, set()
+            for watch in watches:
+                watch.set()
+
+    def _lost(self, member: int) -> None:
+        if member == self.leader or not self.quorum():
+            self.leader = None
+            self._elect()
+
+    def _elect(self) -> None:
+        if self.leader is None and (self.electing is None or self.electing.done()):
+            self.electing = asyncio.get_running_loop().create_task(self._election())
+
+    async def _election(self) -> None:
+        await asyncio.sleep(self.election)
+        able = [number for number, m in enumerate(self.machines) if m.up and not m.cut]
+        if self.quorum() and self.leader is None:
+            self.term += 1
+            self.leader = able[self.term % len(able)]
+            self.model.prolong(self.now)
+
+    # what members do
+    async def expire(self) -> None:
+        """Ends leases by the leader's clock, for as long as the store runs."""
+        while True:
+            await asyncio.sleep(0.02)
+            if self.leader is not None and self.quorum():
+                before = self.model.revision
+                self.model.expire(self.now)
+                if self.model.revision != before:
+                    self.changed()
+
+    def changed(self) -> None:
+        for number, machine in enumerate(self.machines):
+            if machine.up and not machine.cut:
+                self._wake(number)
+
+    def _wake(self, member: int) -> None:
+        for watch in self.machines[member].watches:
+            watch.set()
+
+    async def write(self, member: int, txn: Txn) -> Done:
+        """Raises StoreError, or NotNow where the caller can't know what became of it."""
+        if not self.led(member):
+            raise NotNow(NO_LEADER)
+        if self.slow:
+            await asyncio.sleep(self.slow)
+            if not self.led(member):
+                raise NotNow(TIMED_OUT)
+        done = self.model.txn(txn)
+        self.changed()
+        if self.unanswered:
+            self.unanswered -= 1
+            raise NotNow(TIMED_OUT)
+        return done
+
+    def read(self, member: int, asked: Get, serializable: bool) -> tuple[int, tuple[KeyValue, ...]]:
+        machine = self.machines[member]
+        if serializable and machine.up:
+            if machine.cut and not asked.revision:
+                asked = Get(asked.key, asked.end, machine.stale)
+            return machine.stale if machine.cut else self.model.revision, self.model.get(asked)
+        if not self.led(member):
+            raise NotNow(NO_LEADER)
+        return self.model.revision, self.model.get(asked)
+
+    def seen(self, member: int) -> int:
+        """The revision up to which a watch at this member is told."""
+        machine = self.machines[member]
+        return machine.stale if machine.cut else self.model.revision
--- /dev/null
+++ b/granitepoint/rig/store/server.py
@@ -0,0 +1,413 @@
+"""The stand-in store's listeners: the published services over gRPC, one for each member; and the line by line
+protocol by which a rig tells it its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import sys
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import msgspec
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from granitepoint.control import messages
+from granitepoint.control.wire import store_grpc as services
+from granitepoint.control.wire import store_pb2 as pb
+from granitepoint.coordination.store import (
+    MOST_BYTES,
+    Compacted,
+    Delete,
+    Event,
+    Full,
+    Get,
+    KeyValue,
+    NoLease,
+    Put,
+    StoreError,
+    Txn,
+)
+from granitepoint.rig.store.cluster import NO_LEADER, Cluster, NotNow
+
+VERSION = "3.5.0"  # of the API, as Status tells it
+CLUSTER = 0x6C61
+
+
+@contextlib.contextmanager
+def answered() -> Any:
+    """The store's faults as codes of gRPC, as the published server gives them."""
+    try:
+        yield
+    except NotNow as fault:
+        raise GRPCError(Status.UNAVAILABLE, str(fault)) from None
+    except NoLease as fault:
+        raise GRPCError(Status.NOT_FOUND, f"etcdserver: {fault}") from None
+    except Full as fault:
+        raise GRPCError(Status.RESOURCE_EXHAUSTED, f"etcdserver: {fault}") from None
+    except Compacted as fault:
+        raise GRPCError(Status.OUT_OF_RANGE, f"etcdserver: {fault}") from None
+    except StoreError as fault:
+        raise GRPCError(Status.INVALID_ARGUMENT, str(fault)) from None
+
+
+class Front:
+    """What the services of one member share."""
+
+    def __init__(self, cluster: Cluster, member: int) -> None:
+        self.cluster, self.member = cluster, member
+
+    def header(self, revision: int | None = None) -> Any:
+        cluster = self.cluster
+        told = cluster.seen(self.member) if revision is None else revision
+        return pb.ResponseHeader(
+            cluster_id=CLUSTER, member_id=self.member + 1, revision=told, raft_term=cluster.term
+        )
+
+    async def taken(self, stream: Any) -> Any:
+        """The one message of a call; raises GRPCError for those that are not served."""
+        message = await stream.recv_message()
+        self.cluster.calls += 1
+        self.allowed(stream)
+        if message is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no message")
+        if message.ByteSize() > MOST_BYTES:
+            raise GRPCError(Status.INVALID_ARGUMENT, "etcdserver: request is too large")
+        return message
+
+    def allowed(self, stream: Any) -> None:
+        if not self.cluster.machines[self.member].up:
+            raise GRPCError(Status.UNAVAILABLE, "down")
+        if self.cluster.token and stream.metadata.get("token") != self.cluster.token:
+            raise GRPCError(Status.UNAUTHENTICATED, "etcdserver: invalid auth token")
+
+    def led(self) -> None:
+        if not self.cluster.led(self.member):
+            raise GRPCError(Status.UNAVAILABLE, NO_LEADER)
+
+
+def sorted_pairs(asked: Any, found: tuple[KeyValue, ...]) -> list[KeyValue]:
+    """By what a RangeRequest wants, and filtered by its bounds."""
+    pairs = [
+        kv for kv in found
+        if kv.mod_revision >= asked.min_mod_revision and kv.create_revision >= asked.min_create_revision
+        and kv.mod_revision <= (asked.max_mod_revision or kv.mod_revision)
+        and kv.create_revision <= (asked.max_create_revision or kv.create_revision)
+    ]  # fmt: skip
+    by: list[Callable[[KeyValue], Any]] = [
+        lambda kv: kv.key, lambda kv: kv.version, lambda kv: kv.create_revision,
+        lambda kv: kv.mod_revision, lambda kv: kv.value,
+    ]  # fmt: skip
+    if asked.sort_order:
+        pairs.sort(key=by[asked.sort_target], reverse=asked.sort_order == pb.RangeRequest.DESCEND)
+    return pairs
+
+
+def range_answer(asked: Any, header: Any, found: tuple[KeyValue, ...]) -> Any:
+    pairs = sorted_pairs(asked, found)
+    count, shown = len(pairs), pairs[: asked.limit] if asked.limit else pairs
+    told = [] if asked.count_only else [messages.pair_message(kv, asked.keys_only) for kv in shown]
+    return pb.RangeResponse(header=header, kvs=told, more=len(shown) < count, count=count)
+
+
+class Kv(services.KVBase):
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    async def Range(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        with answered():
+            get = Get(asked.key, asked.range_end, asked.revision)
+            revision, found = self.front.cluster.read(self.front.member, get, asked.serializable)
+        await stream.send_message(range_answer(asked, self.front.header(revision), found))
+
+    async def Put(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        with answered():
+            if asked.ignore_value or asked.ignore_lease:
+                raise StoreError("etcdserver: ignore_value and ignore_lease are not served here")
+            before = self.front.cluster.model.keys.get(asked.key)
+            put = Put(asked.key, asked.value, asked.lease)
+            done = await self.front.cluster.write(self.front.member, Txn((), (put,)))
+        prev = messages.pair_message(before) if asked.prev_kv and before is not None else None
+        await stream.send_message(pb.PutResponse(header=self.front.header(done.revision), prev_kv=prev))
+
+    async def DeleteRange(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        with answered():
+            delete = Delete(asked.key, asked.range_end)
+            done = await self.front.cluster.write(self.front.member, Txn((), (delete,)))
+        prev = [messages.pair_message(kv) for kv in done.found[0]] if asked.prev_kv else []
+        header = self.front.header(done.revision)
+        answer = pb.DeleteRangeResponse(header=header, deleted=len(done.found[0]), prev_kvs=prev)
+        await stream.send_message(answer)
+
+    async def Txn(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        with answered():
+            txn = messages.txn(asked)
+            done = await self.front.cluster.write(self.front.member, txn)
+        header = self.front.header(done.revision)
+        chosen = asked.success if done.succeeded else asked.failure
+        parts = [self._part(op, header, found) for op, found in zip(chosen, done.found, strict=True)]
+        await stream.send_message(pb.TxnResponse(header=header, succeeded=done.succeeded, responses=parts))
+
+    @staticmethod
+    def _part(operation: Any, header: Any, found: tuple[KeyValue, ...]) -> Any:
+        kind = operation.WhichOneof("request")
+        if kind == "request_range":
+            return pb.ResponseOp(response_range=range_answer(operation.request_range, header, found))
+        if kind == "request_put":
+            return pb.ResponseOp(response_put=pb.PutResponse(header=header))
+        prev = operation.request_delete_range.prev_kv
+        told = [messages.pair_message(kv) for kv in found] if prev else []
+        answer = pb.DeleteRangeResponse(header=header, deleted=len(found), prev_kvs=told)
+        return pb.ResponseOp(response_delete_range=answer)
+
+    async def Compact(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        self.front.led()
+        with answered():
+            self.front.cluster.model.compact(asked.revision)
+        await stream.send_message(pb.CompactionResponse(header=self.front.header()))
+
+
+class Leases(services.LeaseBase):
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    async def LeaseGrant(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        self.front.led()
+        with answered():
+            lease = self.front.cluster.model.grant(asked.TTL, self.front.cluster.now, asked.ID)
+        answer = pb.LeaseGrantResponse(header=self.front.header(), ID=lease.id, TTL=lease.ttl)
+        await stream.send_message(answer)
+
+    async def LeaseRevoke(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        self.front.led()
+        with answered():
+            self.front.cluster.model.revoke(asked.ID)
+        self.front.cluster.changed()
+        await stream.send_message(pb.LeaseRevokeResponse(header=self.front.header()))
+
+    async def LeaseKeepAlive(self, stream: Any) -> None:
+        async for asked in stream:
+            self.front.cluster.calls += 1
+            self.front.allowed(stream)
+            self.front.led()
+            if self.front.cluster.slow:
+                await asyncio.sleep(self.front.cluster.slow)
+            ttl = self.front.cluster.model.keep_alive(asked.ID, self.front.cluster.now)
+            answer = pb.LeaseKeepAliveResponse(header=self.front.header(), ID=asked.ID, TTL=ttl)
+            await stream.send_message(answer)
+
+    async def LeaseTimeToLive(self, stream: Any) -> None:
+        asked = await self.front.taken(stream)
+        self.front.led()
+        cluster = self.front.cluster
+        lease = cluster.model.leases.get(asked.ID)
+        answer = pb.LeaseTimeToLiveResponse(header=self.front.header(), ID=asked.ID, TTL=-1)
+        if lease is not None:
+            answer.TTL, answer.grantedTTL = int(lease.until - cluster.now), lease.ttl
+            answer.keys.extend(cluster.model.attached(lease.id) if asked.keys else [])
+        await stream.send_message(answer)
+
+    async def LeaseLeases(self, stream: Any) -> None:
+        await self.front.taken(stream)
+        self.front.led()
+        leases = [pb.LeaseStatus(ID=id) for id in self.front.cluster.model.leases]
+        await stream.send_message(pb.LeaseLeasesResponse(header=self.front.header(), leases=leases))
+
+
+class Status_(services.MaintenanceBase):
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    async def Status(self, stream: Any) -> None:
+        await self.front.taken(stream)
+        cluster = self.front.cluster
+        leader = 0 if cluster.leader is None or not cluster.quorum() else cluster.leader + 1
+        answer = pb.StatusResponse(
+            header=self.front.header(), version=VERSION, dbSize=cluster.model.size, leader=leader,
+            raftIndex=cluster.model.revision, raftTerm=cluster.term, raftAppliedIndex=cluster.model.revision,
+        )  # fmt: skip
+        await stream.send_message(answer)
+
+
+class Watching:
+    """One watch on a stream: from where it has still to be told."""
+
+    def __init__(self, id: int, create: Any, revision: int) -> None:
+        self.id, self.create = id, create
+        self.next = create.start_revision or revision + 1
+
+    def wants(self, event: Event) -> bool:
+        filters = list(self.create.filters)
+        return not (event.gone and 1 in filters) and not (not event.gone and 0 in filters)
+
+    def message(self, event: Event) -> Any:
+        before = event.before if self.create.prev_kv else None
+        return pb.Event(
+            type=pb.Event.DELETE if event.gone else pb.Event.PUT, kv=messages.pair_message(event.kv),
+            prev_kv=messages.pair_message(before) if before is not None else None,
+        )  # fmt: skip
+
+
+class Watches(services.WatchBase):
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    async def Watch(self, stream: Any) -> None:
+        cluster, machine = self.front.cluster, self.front.cluster.machines[self.front.member]
+        self.front.allowed(stream)
+        wake = asyncio.Event()
+        machine.watches.add(wake)
+        watching: dict[int, Watching] = {}
+        asked: asyncio.Queue[Any] = asyncio.Queue()
+
+        async def hear() -> None:
+            async for message in stream:
+                asked.put_nowait(message)
+                wake.set()
+            asked.put_nowait(None)
+            wake.set()
+
+        hearing = asyncio.create_task(hear())
+        try:
+            while wake in machine.watches and machine.up:
+                while not asked.empty():
+                    message = asked.get_nowait()
+                    if message is None:
+                        return
+                    await self._asked(stream, message, watching)
+                for watch in list(watching.values()):
+                    await self._tell(stream, watch, watching)
+                wake.clear()
+                if asked.empty() and all(w.next > cluster.seen(self.front.member) for w in watching.values()):
+                    await wake.wait()
+            raise GRPCError(Status.UNAVAILABLE, "the stream was cut")
+        finally:
+            machine.watches.discard(wake)
+            hearing.cancel()
+
+    async def _asked(self, stream: Any, message: Any, watching: dict[int, Watching]) -> None:
+        kind = message.WhichOneof("request_union")
+        header = self.front.header()
+        if kind == "create_request":
+            create = message.create_request
+            id = create.watch_id or max(watching, default=-1) + 1
+            watching[id] = Watching(id, create, self.front.cluster.seen(self.front.member))
+            await stream.send_message(pb.WatchResponse(header=header, watch_id=id, created=True))
+        elif kind == "cancel_request":
+            id = message.cancel_request.watch_id
+            if watching.pop(id, None) is not None:
+                await stream.send_message(pb.WatchResponse(header=header, watch_id=id, canceled=True))
+        elif not self.front.cluster.machines[self.front.member].cut:
+            await stream.send_message(pb.WatchResponse(header=header, watch_id=-1))
+
+    async def _tell(self, stream: Any, watch: Watching, watching: dict[int, Watching]) -> None:
+        model, until = self.front.cluster.model, self.front.cluster.seen(self.front.member)
+        if watch.next > until:
+            return
+        create = watch.create
+        try:
+            events = model.since(watch.next, create.key, create.range_end)
+        except Compacted as fault:
+            del watching[watch.id]
+            await stream.send_message(pb.WatchResponse(
+                header=self.front.header(), watch_id=watch.id, canceled=True,
+                compact_revision=fault.compact_revision, cancel_reason=str(fault),
+            ))  # fmt: skip
+            return
+        told = [event for event in events if event.kv.mod_revision <= until and watch.wants(event)]
+        watch.next = until + 1
+        if told:
+            events_told = [watch.message(event) for event in told]
+            header = self.front.header(until)
+            await stream.send_message(pb.WatchResponse(header=header, watch_id=watch.id, events=events_told))
+
+
+class Store:
+    """All members in this process, each at its own address; `async with` starts and ends them."""
+
+    def __init__(self, cluster: Cluster, host: str, ports: list[int]) -> None:
+        self.cluster, self.host, self.ports = cluster, host, ports
+        self.servers: list[Server] = []
+
+    async def __aenter__(self) -> Store:
+        for number, port in enumerate(self.ports):
+            front = Front(self.cluster, number)
+            server = Server([Kv(front), Leases(front), Watches(front), Status_(front)])
+            await server.start(self.host, port)
+            self.servers.append(server)
+        self.expiring = asyncio.create_task(self.cluster.expire())
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self.expiring.cancel()
+        self.cluster.cut_watches()
+        for server in self.servers:
+            server.close()
+        for server in self.servers:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await server.wait_closed()
+
+
+class Order(msgspec.Struct, frozen=True):
+    """One line of the rig: what to do, to which member, how much."""
+
+    do: str
+    member: int = 0
+    size: float = 0.0
+    text: str = ""
+
+
+def obey(cluster: Cluster, order: Order) -> None:
+    """Raises ValueError for an order that is none."""
+    if order.do in ("down", "up", "cut", "heal"):
+        getattr(cluster, order.do)(order.member)
+    elif order.do in ("depose", "cut_watches"):
+        getattr(cluster, order.do)()
+    elif order.do == "slow":
+        cluster.slow = order.size
+    elif order.do == "forward":
+        cluster.ahead += order.size
+    elif order.do == "unanswered":
+        cluster.unanswered = int(order.size)
+    elif order.do == "compact":
+        cluster.model.compact(cluster.model.revision)
+    elif order.do == "full":
+        cluster.model.quota = int(order.size)
+    elif order.do == "token":
+        cluster.token = order.text
+    else:
+        raise ValueError(f"no such order: {order.do}")
+
+
+async def lines() -> AsyncIterator[bytes]:
+    loop, reader = asyncio.get_running_loop(), asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), os.fdopen(os.dup(0), "rb"))
+    while line := await reader.readline():
+        yield line
+
+
+async def serve(members: int, port: int, least_ttl: int, orders: bool) -> None:
+    """Until it is cancelled; with `orders`, until standard input ends. Raises OSError."""
+    cluster = Cluster(members, least_ttl)
+    ports = [port + number for number in range(members)]
+    async with Store(cluster, "127.0.0.1", ports):
+        print(" ".join(f"127.0.0.1:{port}" for port in ports), flush=True)
+        if not orders:
+            await asyncio.Event().wait()
+        async for line in lines():
+            try:
+                obey(cluster, msgspec.json.decode(line, type=Order))
+                print("ok", flush=True)
+            except (ValueError, msgspec.DecodeError, StoreError) as fault:
+                print(f"error: {fault}", file=sys.stdout, flush=True)
--- /dev/null
+++ b/tests/fleetkit.py
@@ -0,0 +1,139 @@
+"""A stand-in store as a process, and what a fleet before it says of itself."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from netkit import PATIENCE, Proxy, free_port
+
+from granitepoint.control import fleet
+from granitepoint.control.client import Client
+from granitepoint.control.errors import StoreFault
+from granitepoint.coordination.records import Fleet, RecordError, decode
+from granitepoint.coordination.store import Get
+from granitepoint.rig import process
+
+PREFIX = "/malabar"
+TTL = 1  # s
+
+
+class Store:
+    def __init__(self, child: asyncio.subprocess.Process, endpoints: list[str]) -> None:
+        self.child, self.endpoints = child, endpoints
+        self.client = Client([("127.0.0.1", int(at.rpartition(":")[2])) for at in endpoints], 1.0)
+
+    def block(self, endpoints: list[str] | None = None, **more: Any) -> str:
+        """The settings file's."""
+        named = ", ".join(f'"{at}"' for at in endpoints or self.endpoints)
+        settings = {"ttl_s": TTL, "timeout_ms": 500, **more}
+        lines = [f"  {key} = {value}" for key, value in settings.items()]
+        first = ["coordination {", f"  endpoints = [{named}]", f'  prefix = "{PREFIX}"']
+        return "\n".join([*first, *lines, "}\n"])
+
+    async def order(self, do: str, **more: Any) -> None:
+        assert self.child.stdin is not None and self.child.stdout is not None
+        self.child.stdin.write(msgspec.json.encode({"do": do, **more}) + b"\n")
+        async with asyncio.timeout(PATIENCE):
+            assert await self.child.stdout.readline() == b"ok\n"
+
+    async def view(self) -> Any:
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                with contextlib.suppress(StoreFault):
+                    return await fleet.read(self.client, PREFIX)
+                await asyncio.sleep(0.02)
+
+    async def members(self, wanted: Callable[[list[dict[str, Any]]], bool]) -> list[dict[str, Any]]:
+        found: list[dict[str, Any]] = await self._until(fleet.members, wanted)
+        return found
+
+    async def duties(self, wanted: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+        """Holder and token by duty, once they are as wanted."""
+
+        def told(view: Any) -> dict[str, Any]:
+            return {duty["name"]: (duty["holder"], duty["token"]) for duty in fleet.duties(view)}
+
+        found: dict[str, Any] = await self._until(told, wanted)
+        return found
+
+    async def _until(self, told: Callable[[Any], Any], wanted: Callable[[Any], bool]) -> Any:
+        end = time.monotonic() + PATIENCE
+        while True:
+            found = told(await self.view())
+            if wanted(found):
+                return found
+            assert time.monotonic() < end, found
+            await asyncio.sleep(0.01)
+
+    async def tokens(self) -> list[int]:
+        """Of all effects of the duty `digest` that the store accepted, in their order."""
+        revision, _ = await self.client.get(Get(b"x"))
+        found: list[tuple[int, int]] = []
+        for at in range(2, revision + 1):
+            _, kvs = await self.client.get(Get(f"{PREFIX}/fleet/digest".encode(), b"", at))
+            for kv in kvs:
+                with contextlib.suppress(RecordError):
+                    found.append((kv.mod_revision, decode(kv.value, Fleet).token))
+        return [token for _, token in sorted(set(found))]
+
+
+def free_ports(count: int) -> int:
+    """The first of so many in a row that nobody has now."""
+    while True:
+        first = free_port()
+        with contextlib.ExitStack() as held:
+            try:
+                for port in range(first, first + count):
+                    held.enter_context(socket.create_server(("127.0.0.1", port)))
+            except (OSError, OverflowError):
+                continue
+            return first
+
+
+@contextlib.asynccontextmanager
+async def store(members: int = 3) -> AsyncIterator[Store]:
+    endpoints: list[str] = []
+    while not endpoints:  # another process may have taken a port since
+        port = free_ports(members)
+        command = process.python("granitepoint", "rig", "store", "--members", str(members),
+                                 "--port", str(port), "--orders")  # fmt: skip
+        child = await process.start(*command)
+        assert child.stdout is not None
+        async with asyncio.timeout(PATIENCE):
+            endpoints = (await child.stdout.readline()).decode().split()
+    try:
+        assert len(endpoints) == members
+        found = Store(child, endpoints)
+        yield found
+        found.client.close()
+    finally:
+        await process.end(child)
+
+
+def held_by(name: str) -> Callable[[dict[str, Any]], bool]:
+    return lambda duties: bool(duties) and all(holder == name for holder, _ in duties.values())
+
+
+def all_held(duties: dict[str, Any]) -> bool:
+    return len(duties) == 3 and all(holder for holder, _ in duties.values())
+
+
+def config_file(folder: Path, text: str) -> str:
+    file = folder / "fleet.hcl"
+    file.write_text(text, encoding="utf-8")
+    return str(file)
+
+
+async def served(node: Proxy, id: str) -> bool:
+    caller = await node.caller()
+    try:
+        return (await caller.call("stock", id.rjust(16, "0"))).code == 200
+    finally:
+        caller.writer.close()
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -321,7 +321,7 @@
 @contextlib.asynccontextmanager
 async def proxy(
     backends: dict[str, Backend], discovery: Discovery | None = None, features: str = "",
-    greeting: bytes = b"", listen: str = "", **changes: Any,
+    greeting: bytes = b"", listen: str = "", name: str = "n0", **changes: Any,
 ) -> AsyncIterator[Proxy]:
     """A proxy before these backends, ready; ended by force if the test has not ended it. `features` is the
     text of its settings file, `greeting` what a connection begins with there. With `listen` it is one more
@@ -338,7 +338,7 @@
         file = Path(folder) / "malabar.hcl"
         file.write_text(features, encoding="utf-8")
         arguments = ("-f", str(file)) if features else ()
-        raw = config(own.address, known, listen, **changes)
+        raw = config(own.address, known, listen, **changes) | {"name": name}
         process = await start_program(raw, folder, *arguments, EDGE_ADMIN_ADDR=admin)
         try:
             ready = asyncio.create_task(
