--- a/granitepoint/cli/rig.py
+++ b/granitepoint/cli/rig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import click
 import msgspec
@@ -130,3 +131,36 @@
         run_async(serve(members, port, least_ttl, orders))
     except OSError as fault:
         raise RigError(f"port {port} and on: {fault.strerror or fault}") from None
+
+
+@rig.command("losses")
+@click.option("--kind", "kinds", multiple=True, help="This kind alone (again for more).")
+@click.option("--losses", type=click.IntRange(1, 100_000), default=20, show_default=True, help="Of a kind.")
+@click.option("--members", type=click.IntRange(2, 200), default=3, show_default=True)
+@click.option("--ttl", type=click.IntRange(1, 60), default=1, show_default=True, help="S of a lease.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@json_option
+@mendable
+def losses(kinds: tuple[str, ...], losses: int, members: int, ttl: int, seed: int, as_json: bool) -> None:
+    """Lose a duty's holder again and again: s without a holder, and whether two ever held it."""
+    from granitepoint.rig import losses as lost
+
+    for kind in kinds:
+        if kind not in lost.KINDS:
+            raise RigError(f"no such kind: {kind}; there are {', '.join(lost.KINDS)}")
+    found = run_async(lost.measure(kinds or lost.KINDS, losses, members, ttl, seed))
+    rows: list[dict[str, Any]] = [
+        {"kind": one.kind, "losses": len(one.gaps), **lost.quantiles(one.gaps), "effects": one.effects,
+         "begun_late": one.late, "overlaps": one.overlaps}
+        for one in found
+    ]  # fmt: skip
+    if as_json:
+        show_json({"members": members, "ttl_s": ttl, "rows": rows})
+    else:
+        for row in rows:
+            click.echo("{kind:<12} {losses:>6} losses  p50 {p50:.3f} s  p99 {p99:.3f} s  max {max:.3f} s  "
+                       "{effects} effects, {begun_late} begun late".format(**row))  # fmt: skip
+            for overlap in row["overlaps"]:
+                click.echo(f"  OVERLAP {overlap}")
+    if any(row["overlaps"] or row["begun_late"] for row in rows):
+        raise SystemExit(1)
--- /dev/null
+++ b/granitepoint/rig/member.py
@@ -0,0 +1,97 @@
+"""A member of a fleet that serves nothing: the agent alone in a process, which writes down what it holds.
+
+Each line it prints is one moment by the machine's boot clock, so that lines of several processes can be laid
+beside each other: `begin` and `end` of a duty with its token, and the bound that held at that moment.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from granitepoint.control.agent import Agent, Options
+from granitepoint.control.clock import boot
+from granitepoint.control.duties.base import Holding, Work
+from granitepoint.control.view import View
+from granitepoint.coordination.records import Member
+from granitepoint.coordination.store import Put
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """`rate`: of this member's clock against the machine's. `period`: s between two effects of a duty."""
+
+    name: str
+    endpoints: tuple[str, ...]
+    prefix: str
+    duties: tuple[str, ...]
+    ttl: int = 1
+    rate: float = 1.0
+    period: float = 0.02
+
+
+class Line(msgspec.Struct, frozen=True, omit_defaults=True):
+    """`what`: ready, begin, effect (begun), end. `until`: the own bound, by the machine's clock."""
+
+    what: str
+    at: float
+    member: str = ""
+    duty: str = ""
+    token: int = 0
+    until: float = 0.0
+
+
+def _work(duty: str, plan: Plan, note: Callable[[Line], None], bound: Callable[[], float]) -> type[Work]:
+    class Counted(Work):
+        """Writes its token again and again, so that the store's history tells who acted when."""
+
+        name = duty
+        period = plan.period
+
+        async def step(self, holding: Holding) -> None:
+            view: View = holding.view
+            note(Line("effect", boot(), plan.name, duty, holding.token, bound()))
+            await holding.effect(Put(view.at.fleet(duty), str(holding.token).encode()))
+
+    return Counted
+
+
+def main() -> int:
+    plan: Plan = msgspec.json.decode(sys.stdin.buffer.readline(), type=Plan)
+    lock = threading.Lock()
+
+    def note(line: Line) -> None:
+        with lock:
+            sys.stdout.buffer.write(msgspec.json.encode(line) + b"\n")
+            sys.stdout.flush()
+
+    def bound() -> float:
+        return agent.lease.until / plan.rate if agent.lease.id else 0.0  # no lease: long ago
+
+    def told(duty: str, token: int, begun: bool) -> None:
+        note(Line("begin" if begun else "end", boot(), plan.name, duty, token, bound()))
+
+    addresses = [endpoint.rpartition(":") for endpoint in plan.endpoints]
+    options = Options(
+        tuple((host, int(port)) for host, _, port in addresses), plan.prefix, plan.ttl, timeout=0.5
+    )
+    works = [_work(duty, plan, note, bound) for duty in plan.duties]
+    member = Member(name=plan.name, incarnation="", state="ready")
+    agent = Agent(options, member, works, clock=lambda: boot() * plan.rate, told=told)
+    agent.start()
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    while not stop.wait(0.01):
+        if agent.able:
+            note(Line("ready", boot(), plan.name))
+            break
+    stop.wait()
+    agent.leave()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/fleetkit.py
+++ b/tests/fleetkit.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
-from netkit import PATIENCE, Proxy, free_port
+from netkit import PATIENCE, Proxy
 
 from granitepoint.control import fleet
 from granitepoint.control.client import Client
@@ -19,6 +18,7 @@
 from granitepoint.coordination.records import Fleet, RecordError, decode
 from granitepoint.coordination.store import Get
 from granitepoint.rig import process
+from granitepoint.rig.store.launch import launch
 
 PREFIX = "/malabar"
 TTL = 1  # s
@@ -84,32 +84,10 @@
         return [token for _, token in sorted(set(found))]
 
 
-def free_ports(count: int) -> int:
-    """The first of so many in a row that nobody has now."""
-    while True:
-        first = free_port()
-        with contextlib.ExitStack() as held:
-            try:
-                for port in range(first, first + count):
-                    held.enter_context(socket.create_server(("127.0.0.1", port)))
-            except (OSError, OverflowError):
-                continue
-            return first
-
-
 @contextlib.asynccontextmanager
 async def store(members: int = 3) -> AsyncIterator[Store]:
-    endpoints: list[str] = []
-    while not endpoints:  # another process may have taken a port since
-        port = free_ports(members)
-        command = process.python("granitepoint", "rig", "store", "--members", str(members),
-                                 "--port", str(port), "--orders")  # fmt: skip
-        child = await process.start(*command)
-        assert child.stdout is not None
-        async with asyncio.timeout(PATIENCE):
-            endpoints = (await child.stdout.readline()).decode().split()
+    child, endpoints = await launch(members)
     try:
-        assert len(endpoints) == members
         found = Store(child, endpoints)
         yield found
         found.client.close()
