Count an effect as begun only once it was found allowed, and those that the store refused

Change: the line is written when the effect is answered, with the moment before it was asked; NotHeld tells whether it was sent, so that what the store refuses by its token is counted too. A short run of three kinds is a test.

--- a/granitepoint/control/duties/base.py
+++ b/granitepoint/control/duties/base.py
@@ -10,7 +10,11 @@
 
 
 class NotHeld(Exception):
-    """The effect was not begun, or the store refused it: the duty is not held (any more)."""
+    """The duty is not held (any more). `begun`: the effect was sent, and the store refused its token."""
+
+    def __init__(self, duty: str, begun: bool = False) -> None:
+        super().__init__(duty)
+        self.begun = begun
 
 
 class Holding(Protocol):
--- a/granitepoint/control/keeper.py
+++ b/granitepoint/control/keeper.py
@@ -120,7 +120,7 @@
         done = await self.agent.client.txn(duties.fenced(self.key, token, *operations))
         if not done.succeeded:
             self.hear(done.found[0][0] if done.found[0] else None, done.revision)
-            raise NotHeld(self.work.name)
+            raise NotHeld(self.work.name, begun=True)
         return done
 
     def _begin(self) -> None:
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,48 @@
+"""What is told of holders that are lost one after another, and a short run of it over processes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+from netkit import ROOT
+
+from granitepoint.rig.losses import Judge, quantiles
+from granitepoint.rig.member import Line
+
+
+def test_two_that_held_at_once_are_told() -> None:
+    judge = Judge()
+    for line in (
+        Line("begin", 1.0, "a", "one", 3, 1.8), Line("effect", 1.5, "a", "one", 3, 2.2),
+        Line("begin", 2.1, "b", "one", 9, 3.0), Line("refused", 2.3, "a", "one", 3, 2.2),
+        Line("end", 2.9, "b", "one", 9), Line("begin", 2.95, "a", "one", 12, 4.0),
+    ):  # fmt: skip
+        judge.line(line)
+    assert judge.overlaps() == ["token 3 of a until 2.200, token 9 of b from 2.100"]
+    assert (judge.effects, judge.late, judge.refused) == (2, 1, 1)
+
+
+def test_one_that_ended_in_time_overlaps_nobody() -> None:
+    judge = Judge()
+    for line in (Line("begin", 1.0, "a", "one", 3, 9.0), Line("end", 2.0, "a", "one", 3),
+                 Line("begin", 2.001, "b", "one", 4, 9.0)):  # fmt: skip
+        judge.line(line)
+    assert judge.overlaps() == []
+
+
+def test_quantiles_of_gaps() -> None:
+    assert quantiles([0.3, 0.1, 0.2]) == {"p50": 0.2, "p99": 0.3, "max": 0.3}
+
+
+def test_losses_over_processes_leave_one_holder() -> None:
+    words = ("rig", "losses", "--losses", "2", "--kind", "stop", "--kind", "term", "--kind", "slow clock")
+    told = subprocess.run((sys.executable, "-m", "granitepoint", *words, "--json"), cwd=ROOT, text=True,
+                          capture_output=True, timeout=120, check=False)  # fmt: skip
+    assert told.returncode == 0, told.stderr
+    rows = json.loads(told.stdout)["rows"]
+    assert [row["kind"] for row in rows] == ["stop", "term", "slow clock"]
+    for row in rows:
+        assert row["overlaps"] == [] and row["begun_late"] == 0 and row["effects"] > 10
+    assert rows[1]["max"] < 1.0 and 0.2 < rows[0]["max"] < 4.0
