Search the duty's machine from the command line

Need: the explorer ran from tests only; a long search, or another seed, needs a command. Change: `gladegw rig explore` searches to a depth and then walks from a seed; it prints the shortest trace of what broke and exits 1. A test breaks the check and sees the trace.

--- a/granitepoint/cli/rig.py
+++ b/granitepoint/cli/rig.py
@@ -158,9 +158,52 @@
         show_json({"members": members, "ttl_s": ttl, "rows": rows})
     else:
         for row in rows:
-            click.echo("{kind:<12} {losses:>6} losses  p50 {p50:.3f} s  p99 {p99:.3f} s  "
-                       "max {max:.3f} s  {effects} effects, {refused} refused, {begun_late} begun late".format(**row))  # fmt: skip
+            told = ("{kind:<12} {losses:>6} losses  p50 {p50:.3f} s  p99 {p99:.3f} s  max {max:.3f} s  "
+                    "{effects} effects, {refused} refused, {begun_late} begun late")  # fmt: skip
+            click.echo(told.format(**row))
             for overlap in row["overlaps"]:
                 click.echo(f"  OVERLAP {overlap}")
     if any(row["overlaps"] or row["begun_late"] for row in rows):
         raise SystemExit(1)
+
+
+@rig.command("explore")
+@click.option("--members", type=click.IntRange(1, 5), default=3, show_default=True)
+@click.option("--depth", type=click.IntRange(0, 60), default=6, show_default=True, help="Of the search.")
+@click.option("--most", type=click.IntRange(1, 100_000_000), default=1_000_000, show_default=True,
+              help="States at most.")  # fmt: skip
+@click.option("--walks", type=click.IntRange(0, 1_000_000), default=20, show_default=True, help="Long runs.")
+@click.option("--steps", type=click.IntRange(1, 1_000_000), default=1200, show_default=True, help="Of each.")
+@click.option("--seed", type=int, default=0, show_default=True, help="Of the first long run.")
+@json_option
+def explore(
+    members: int, depth: int, most: int, walks: int, steps: int, seed: int, as_json: bool
+) -> None:  # fmt: skip
+    """Search the duty's machine in all orders of steps and faults, then by long random runs."""
+    from dataclasses import asdict
+
+    from granitepoint.rig.explore.duties import Duties
+    from granitepoint.rig.explore.search import Search, walk
+
+    found = [Search(Duties(members), liveness=10).run(depth, most)] if depth else []
+    for number in range(walks):
+        found.append(walk(Duties(members, crashes=8, leaves=8, doubles=10, ttl=4), seed + number, steps))
+        if found[-1].broken:
+            break
+    broken = [one for one in found if one.broken]
+    if as_json:
+        show_json({"runs": [asdict(one) for one in found if one.broken or one is found[0]],
+                   "states": sum(one.states for one in found)})  # fmt: skip
+    else:
+        if depth:
+            first = found[0]
+            click.echo(f"search: {first.states} states, depth {first.depth}, {first.merged} steps to states "
+                       f"seen before, {first.seconds:.1f} s")  # fmt: skip
+        runs = len(found) - bool(depth)
+        click.echo(f"{runs} long runs of {steps} steps from seed {seed}: {len(broken)} of all runs broke")
+        for one in broken:
+            click.echo(f"BROKEN: {one.broken}")
+            for step in one.trace:
+                click.echo(f"  {step}")
+    if broken:
+        raise SystemExit(1)
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -7,7 +7,9 @@
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 
+from granitepoint.cli.rig import rig
 from granitepoint.coordination import duty as duties
 from granitepoint.coordination import lease as leases
 from granitepoint.coordination.duty import Action, Event, Phase
@@ -119,3 +121,12 @@
 
 def test_a_lease_is_named_before_it_is_used() -> None:
     assert not Lease().live(-1e9) and Lease(1, 5.0).live(4.9) and not Lease(1, 5.0).live(5.0)
+
+
+def test_the_command_tells_states_and_exits_by_what_it_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    asked = ["explore", "--members", "2", "--depth", "3", "--walks", "1", "--steps", "200", "--seed", "0"]
+    told = CliRunner().invoke(rig, asked)
+    assert told.exit_code == 0 and "states, depth 3" in told.output
+    monkeypatch.setattr(duties, "may_act", lambda duty, lease, now: duty.phase is Phase.HOLDING)
+    told = CliRunner().invoke(rig, [*asked[:-1], "0", "--steps", "1200", "--members", "3"])
+    assert told.exit_code == 1 and "BROKEN: " in told.output
