Cut links between processes one way, hold what is under way and let it go later

Need: a holder that is cut off was tested only by stopping it, where neither side's bytes are on their way. Change: rig/links.py, a relay for one link: each way held, late, let go, connections reset in the midst.

--- /dev/null
+++ b/granitepoint/rig/links.py
@@ -0,0 +1,107 @@
+"""A relay on a link between two processes, which breaks it as networks do: each way by itself, late, held
+back and let go later, or reset in the midst of a message."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+CHUNK = 64 * 1024  # bytes read at a time; what is held back beyond a chunk stays with the sender's kernel
+
+
+class Way:
+    """One direction of all connections of a link. Bytes are neither lost nor reordered within a connection:
+    TCP would mend that; what is held back for longer than its users wait is as good as lost."""
+
+    def __init__(self) -> None:
+        self.delay = 0.0  # s
+        self._open = asyncio.Event()
+        self._open.set()
+
+    @property
+    def held(self) -> bool:
+        return not self._open.is_set()
+
+    def hold(self) -> None:
+        self._open.clear()
+
+    def release(self) -> None:
+        self._open.set()
+
+    async def passed(self) -> None:
+        """Once what has just come may go on."""
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        await self._open.wait()
+
+
+class Link:
+    """`async with` listens; `address` is what the one side is told in place of `target`."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self.target = (host, int(port))
+        self.address = ""
+        self.there, self.back = Way(), Way()
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.pumps: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Link:
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        assert self.server is not None
+        self.server.close()
+        self.reset()
+        for pump in list(self.pumps):
+            pump.cancel()
+
+    def cut(self) -> None:
+        """Both ways, and for new connections too: they come up and nothing passes."""
+        self.there.hold()
+        self.back.hold()
+
+    def heal(self) -> None:
+        self.there.release()
+        self.back.release()
+
+    def reset(self) -> None:
+        """Ends all connections where they are, in the midst of whatever is on its way."""
+        for writer in list(self.writers):
+            transport = writer.transport
+            if isinstance(transport, asyncio.WriteTransport):
+                transport.abort()
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        other: asyncio.StreamWriter | None = None
+        try:
+            await self.there.passed()
+            far, other = await asyncio.open_connection(*self.target)
+            self.writers.add(other)
+            pumps = [asyncio.create_task(self._pump(self.there, reader, other)),
+                     asyncio.create_task(self._pump(self.back, far, writer))]  # fmt: skip
+            self.pumps |= set(pumps)
+            for pump in pumps:
+                pump.add_done_callback(self.pumps.discard)
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            for pump in pumps:
+                pump.cancel()
+        except OSError:
+            pass
+        finally:
+            for end in (writer, other):
+                if end is not None:
+                    self.writers.discard(end)
+                    end.close()
+
+    @staticmethod
+    async def _pump(way: Way, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while chunk := await reader.read(CHUNK):
+                await way.passed()
+                writer.write(chunk)
+                await writer.drain()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,6 +16,8 @@
 from fleetkit import TTL, all_held, config_file, held_by, served, store
 from netkit import ROOT, Backend, free_address, proxy, run
 
+from granitepoint.rig.links import Link
+
 
 def gladegw(*words: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run((sys.executable, "-m", "granitepoint", *words), cwd=ROOT, capture_output=True,
@@ -138,6 +140,43 @@
     run(test())
 
 
+@pytest.mark.parametrize("way", ["there", "back", "both", "reset"])
+def test_a_holder_that_is_cut_off_serves_on_and_holds_nothing(way: str) -> None:
+    """What it sent, or what it was answered, comes through only once another holds its duties: a renewal
+    whose answer comes after its lease ran out, claims of long ago. None of it counts."""
+
+    async def test() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            at = await stack.enter_async_context(store(1))
+            link = await stack.enter_async_context(Link(at.endpoints[0]))
+            first = await stack.enter_async_context(
+                proxy({"s-1": Backend()}, features=at.block([link.address]), name="p1")
+            )
+            before = await at.duties(held_by("p1"))
+            await stack.enter_async_context(proxy({"s-1": Backend()}, features=at.block(), name="p2"))
+            await at.members(lambda found: len(found) == 2 and found[1]["state"] == "ready")
+            if way == "reset":
+                for _ in range(20):
+                    link.reset()
+                    await asyncio.sleep(0.01)
+                assert all_held(await at.duties(all_held))
+            else:
+                for one in (link.there, link.back):
+                    if way != ("back" if one is link.there else "there"):
+                        one.hold()
+                after = await at.duties(held_by("p2"))
+                assert all(after[name][1] > before[name][1] for name in before)
+                assert await served(first, "1")
+                link.heal()
+                await at.members(lambda found: len(found) == 2)
+                assert held_by("p2")(await at.duties(all_held))
+            assert await served(first, "2")
+            tokens = await at.tokens()
+            assert tokens == sorted(tokens)
+
+    run(test())
+
+
 def test_two_processes_of_one_name_are_two_members() -> None:
     async def test() -> None:
         async with store() as at:
