--- /dev/null
+++ b/tests/test_linear.py
@@ -0,0 +1,125 @@
+"""The checker of records by planted violations, then the stand-in by what several clients record."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections.abc import Sequence
+from random import Random
+
+import pytest
+from fleetkit import Store, store
+from hypothesis import given
+from hypothesis import strategies as st
+from netkit import run
+
+from granitepoint.control.client import Client
+from granitepoint.control.errors import RefusedByStore, StoreFault
+from granitepoint.coordination.store import Compare, Get, Put, Target, Txn
+from granitepoint.rig.store.linear import Seen, violations
+
+
+def read(begin: float, end: float, result: str | None) -> Seen:
+    return Seen(key="k", kind="read", begin=begin, end=end, result=result)
+
+
+def write(begin: float, end: float, value: str | None) -> Seen:
+    return Seen(key="k", kind="write", begin=begin, end=end, value=value)
+
+
+def swap(begin: float, end: float, expected: str | None, value: str, result: str | None) -> Seen:
+    return Seen(key="k", kind="swap", begin=begin, end=end, expected=expected, value=value, result=result)
+
+
+@pytest.mark.parametrize(
+    ("record", "sound"),
+    [
+        ([write(0, 1, "a"), read(2, 3, "a")], True),
+        ([write(0, 1, "a"), read(2, 3, None)], False),  # a stale read
+        ([write(0, 5, "a"), read(1, 2, None), read(3, 4, "a")], True),
+        ([write(0, 5, "a"), read(1, 2, "a"), read(3, 4, None)], False),  # back in time
+        ([write(0, math.inf, "a"), read(5, 6, None), read(7, 8, "a")], True),  # not answered, and done late
+        ([write(0, math.inf, "a"), read(5, 6, "a"), read(7, 8, None)], False),
+        ([swap(0, 1, None, "a", "yes"), swap(0, 1, None, "b", "yes")], False),  # two that both won
+        ([swap(0, 1, None, "a", "yes"), swap(0, 1, None, "b", "no"), read(2, 3, "a")], True),
+        ([swap(0, 1, None, "a", "no"), read(2, 3, None)], False),  # one that lost against nobody
+        ([swap(0, math.inf, None, "a", None), swap(1, 2, None, "b", "no"), read(3, 4, "a")], True),
+        ([write(0, 1, "a"), write(2, 3, None), read(4, 5, "a")], False),  # a lost deletion
+        ([write(0, 1, "a"), write(2, 3, "b"), read(4, 5, "a")], False),  # a lost update
+    ],
+)
+def test_planted_violations_are_found(record: Sequence[Seen], sound: bool) -> None:
+    assert violations(record) == ([] if sound else ["k"])
+
+
+shares = st.floats(0, 0.9)
+
+
+@given(st.lists(st.tuples(st.sampled_from("abc"), st.booleans(), shares, shares), max_size=9))
+def test_whatever_took_place_one_at_a_time_is_sound(course: list[tuple[str, bool, float, float]]) -> None:
+    """Begins and ends are stretched around the moments at which it took place."""
+    held: str | None = None
+    record = []
+    for at, (value, writes, before, after) in enumerate(course):
+        begin, end = at - 3 * before, at + 3 * after
+        if writes:
+            held = value
+        record.append(write(begin, end, value) if writes else read(begin, end, held))
+    assert violations(record) == []
+
+
+async def client(at: Store, seed: int, end: float, record: list[Seen]) -> None:
+    draws = Random(seed)
+    own = Client(at.client.endpoints[seed % 3 :] + at.client.endpoints[: seed % 3], 0.4)
+    value = 0
+    while time.monotonic() < end:
+        key = draws.choice("xy")
+        begin = time.monotonic()
+        known: str | None = None
+        try:
+            _, found = await own.get(Get(key.encode()))
+            known = found[0].value.decode() if found else None
+            record.append(Seen(key=key, kind="read", begin=begin, end=time.monotonic(), result=known))
+        except StoreFault:
+            continue
+        value += 1
+        told = f"{seed}.{value}"
+        begin = time.monotonic()
+        compare = (
+            Compare(key.encode(), Target.CREATE, "=", 0) if known is None
+            else Compare(key.encode(), Target.VALUE, "=", known.encode())
+        )  # fmt: skip
+        try:
+            done = await own.txn(Txn((compare,), (Put(key.encode(), told.encode()),)))
+            result, ended = "yes" if done.succeeded else "no", time.monotonic()
+        except RefusedByStore:
+            continue  # it was not done
+        except StoreFault:
+            result, ended = "", math.inf
+        record.append(Seen(key=key, kind="swap", begin=begin, end=ended, expected=known, value=told,
+                           result=result or None))  # fmt: skip
+        await asyncio.sleep(draws.uniform(0.01, 0.08))
+    own.close()
+
+
+def test_the_stand_in_is_linearizable_while_leaders_go_and_answers_get_lost() -> None:
+    async def test() -> None:
+        record: list[Seen] = []
+        async with store() as at:
+            end = time.monotonic() + 3.0
+            clients = [asyncio.create_task(client(at, seed, end, record)) for seed in range(4)]
+            draws = Random(5)
+            while time.monotonic() < end - 1.0:
+                await asyncio.sleep(0.3)
+                await at.order(draws.choice(["depose", "unanswered", "cut_watches"]), size=2)
+            await asyncio.gather(*clients)
+        assert len(record) > 60 and any(not op.answered for op in record)
+        assert any(op.result == "no" for op in record if op.kind == "swap")
+        assert violations(record) == []
+        reads = [op for op in record if op.kind == "read" and op.result is not None]
+        spoilt = [op for op in record if op is not reads[-1]]
+        first = Seen(key=reads[-1].key, kind="read", begin=reads[-1].begin, end=reads[-1].end, result="stale")
+        assert violations([*spoilt, first]) == [first.key]
+
+    run(test())
