--- a/granitepoint/control/agent.py
+++ b/granitepoint/control/agent.py
@@ -36,7 +36,7 @@
 PAUSE = 0.05  # s that each member of a duty's order leaves to the one before it
 FIRST_BACKOFF, MOST_BACKOFF = 0.1, 5.0  # s
 TELL = 2.0  # s between looks whether own figures have changed
-LOOK = 0.02  # s between looks at the own bound while duties are held
+LOOK = 0.02  # s between looks at the own bound, at least
 SAID = 10.0  # s between two lines about the same kind of trouble
 LEAVING = 1.5  # s that a hand-over may take
 
@@ -97,10 +97,19 @@
 
     # from other threads
     def start(self) -> None:
-        self.thread = threading.Thread(target=lambda: asyncio.run(self.run()), name="agent", daemon=True)
+        self.thread = threading.Thread(target=self._main, name="agent", daemon=True)
         self.thread.start()
         self.ready.wait()
 
+    def _main(self) -> None:
+        """Whatever ends it, the process serves on."""
+        try:
+            asyncio.run(self.run())
+        except Exception:
+            log.exception("coordination: ended")
+        finally:
+            self.ready.set()
+
     def tell_state(self, state: str) -> None:
         """The life-cycle's: lame members hand their duties over, and say so in their record."""
         if self.thread is not None and self.thread.is_alive():
@@ -226,7 +235,8 @@
     async def _bound(self) -> None:
         """Ends what is under way when the bound has passed. No safeguard: each effect asks by itself."""
         while True:
-            await asyncio.sleep(LOOK)
+            left = self.lease.until - self.clock() if self.lease.id else TELL
+            await asyncio.sleep(max(LOOK, min(left, TELL)))
             if self.lease.id and not self.lease.live(self.clock()):
                 self._expired()
 
--- a/granitepoint/rig/store/linear.py
+++ b/granitepoint/rig/store/linear.py
@@ -2,8 +2,8 @@
 some moment between its begin and its end: linearizability (M. Herlihy and J. Wing, ACM TOPLAS 12, 1990).
 
 Each key is looked at by itself, since linearizability is local. The search is J. Wing and C. Gong's (Journal
-of Parallel and Distributed Computing 17, 1993), with a memo of the states seen (G. Lowe, 2017): it takes those
-operations next that none of the others ended before.
+of Parallel and Distributed Computing 17, 1993), with a memo of the states seen (G. Lowe, 2017): it takes
+those operations next that none of the others ended before.
 """
 
 from __future__ import annotations
--- a/tests/fleetkit.py
+++ b/tests/fleetkit.py
@@ -63,6 +63,15 @@
         found: dict[str, Any] = await self._until(told, wanted)
         return found
 
+    async def digested(self, token: int) -> None:
+        """Until the holder of `digest` under this token has written."""
+
+        def told(view: Any) -> int:
+            found = view.read(view.at.fleet("digest"), Fleet)
+            return found.token if found is not None else 0
+
+        await self._until(told, lambda newest: bool(newest >= token))
+
     async def _until(self, told: Callable[[Any], Any], wanted: Callable[[Any], bool]) -> Any:
         end = time.monotonic() + PATIENCE
         while True:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -69,6 +69,7 @@
             block = at.block()
             async with proxy({"s-1": Backend()}, features=block, name="p1") as first:
                 before = await at.duties(held_by("p1"))
+                await at.digested(before["digest"][1])
                 async with proxy({"s-1": Backend()}, features=block, name="p2"):
                     await at.members(lambda found: len(found) == 2 and found[1]["state"] == "ready")
                     began = time.monotonic()
@@ -86,6 +87,7 @@
                         assert took < 3 * TTL + 1.0
                     else:
                         assert await first.code() == 0
+                    await at.digested(after["digest"][1])
             tokens = await at.tokens()
             assert tokens == sorted(tokens) and len(set(tokens)) > 1
 
