Ask discovery again in time for a change to be known when it counts as told

Cause: a change counts as told 6 s after discovery had it and could be reached. A watch waited for a quarter of `must_ask_in`, up to 60 s, so with settings that want to be asked rarely a silent one was given up too late; a call for the whole list, which waits for nothing, had the time of a watch; and after failures the module paused for 1 s, doubled up to `must_ask_in`, so that discovery could be back for 10 s before it was asked.

Change: a watch waits 2.5 s at most, so that it and the call that replaces it end within 6 s; the whole list has 1.5 s; the pause after a failure is 0.1 to 0.2 s, doubled up to 1 s. The exponent is bounded: 1,024 failures in a row ended in an OverflowError.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -97,6 +97,8 @@
 OPEN_LEAST = 0.3  # mean latencies by which a server with an open connection is preferred at least
 OPEN_MEMORY = 30  # sends over which new and open connections are compared
 ADVICE = 0.25  # procQ that a refused client is told to stay away
+WATCH_RETRY = 0.1  # s, doubled at each failure in a row: the pause before discovery is asked again
+WATCH_RETRY_MOST = 1.0  # s; with a call that hangs, still twice within the 6 s that a change may take
 TICK_TOKEN, ASK_TOKEN = 1, 2
 HELD, CUT, LATE, SHORT, DISPLACED, TRIES = "held", "cut", "late", "queue", "displaced", "tries"  # verdicts
 MOST_LATENCIES = 8.0  # mean latencies that a failed attempt counts as at most
@@ -792,7 +794,7 @@
         if event.kind is ListKind.FAILED:
             self.watching = False
             self.watch_fails += 1
-            longest = min(1.0 * 2**self.watch_fails, self.settings.must_ask_within)
+            longest = min(WATCH_RETRY * 2 ** min(self.watch_fails, 8), WATCH_RETRY_MOST)
             self.watch_at = self.now + longest * (0.5 + 0.5 * self.random.random())
         else:
             if event.kind is not ListKind.SAVED:
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -19,10 +19,14 @@
 log = logging.getLogger(__name__)
 
 HOLD_SHARE = 0.25  # of the time within which the settings want a proxy to ask, that one watch may wait
-MOST_HOLD = 60.0  # s, the longest wait of a watch that the protocol knows
-PATIENCE = 1.5  # s beyond a call's own wait after which it has failed: at 2 s its news counts as told
+TOLD_WITHIN = 6.0  # s after which the protocol takes a change as told, whatever became of the calls
+ANSWER_TIMEOUT = 1.5  # s beyond a call's own wait after which it has failed: at 2 s its news counts as told
+# A watch that falls silent as it begins is given up after its wait and ANSWER_TIMEOUT; the call that replaces
+# it needs ANSWER_TIMEOUT at most, and the pause before it is taken to be shorter than another half second.
+MOST_HOLD = TOLD_WITHIN - 2 * ANSWER_TIMEOUT - 0.5  # s
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
+LIST_PATH = "/v1/servers"
 LARGEST = 8 << 20  # bytes of an answer
 
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
@@ -192,10 +196,7 @@
         try:
             while True:
                 begun = loop.time()
-                hold_ms = int(self.hold * 1000)
-                since = "" if self.version is None else f"?from={self.version}&hold_ms={hold_ms}"
-                target = "/v1/servers" + since
-                if not await self._ask(channel, target, self.hold + PATIENCE):
+                if not await self._ask_for_changes(channel):
                     return
                 await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
         finally:
@@ -204,7 +205,7 @@
     async def _fetching(self) -> None:
         channel = _Channel()
         try:
-            await self._ask(channel, "/v1/servers", PATIENCE)
+            await self._ask(channel, LIST_PATH, ANSWER_TIMEOUT)
         finally:
             channel.close()
 
@@ -222,3 +223,10 @@
         self.heard.set()
         self.on_list(listing)
         return True
+    async def _ask_for_changes(self, channel: _Channel) -> bool:
+        """The next call of a watch; where no list is known, that for the whole list, which waits for nothing."""
+        if self.version is None:
+            return await self._ask(channel, LIST_PATH, ANSWER_TIMEOUT)
+        target = f"{LIST_PATH}?from={self.version}&hold_ms={int(self.hold * 1000)}"
+        return await self._ask(channel, target, self.hold + ANSWER_TIMEOUT)
+
