Read a list that ends with its connection or follows an interim answer

Cause: discovery's channel took an answer as whole only where the parser says so, which it never does for one that neither tells its length nor comes in chunks; and it took a 1xx answer for the final one.

Change: the end of the connection ends such an answer; interim ones are passed over.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -91,6 +91,8 @@
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None
         self.parser: Any = None
         self.body = bytearray()
+        self.framed = False  # the answer's headers tell where its body ends
+        self.until_close = False  # its body ends with the connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
@@ -106,16 +108,36 @@
             self._fail(ValueError(f"malformed answer: {fault}"))
             self.close()
 
+    def eof_received(self) -> bool | None:
+        if self.until_close:
+            self._complete()
+        return None
+
+    # parser callbacks
+    def on_message_begin(self) -> None:
+        self.framed = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.framed = self.framed or name.lower() in (b"content-length", b"transfer-encoding")
+
+    def on_headers_complete(self) -> None:
+        self.until_close = not self.framed and self.parser.get_status_code() >= 200
+
     def on_body(self, chunk: bytes) -> None:
         self.body += chunk
         if len(self.body) > LARGEST:
             raise ValueError("the answer is too large")
 
     def on_message_complete(self) -> None:
+        if self.parser.get_status_code() >= 200:  # what comes before it is an interim answer
+            self._complete()
+            if not self.parser.should_keep_alive():
+                self.close()
+
+    def _complete(self) -> None:
+        self.until_close = False
         if self.answer is not None and not self.answer.done():
             self.answer.set_result((self.parser.get_status_code(), bytes(self.body)))
-        if not self.parser.should_keep_alive():
-            self.close()
 
     def _fail(self, fault: Exception) -> None:
         if self.answer is not None and not self.answer.done():
@@ -136,6 +158,7 @@
                 assert self.transport is not None
                 self.parser = httptools.HttpResponseParser(self)
                 self.body.clear()
+                self.until_close = False
                 self.answer = loop.create_future()
                 self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {at[0]}:{at[1]}\r\n\r\n".encode())
                 return await self.answer
@@ -202,6 +225,13 @@
         finally:
             channel.close()
 
+    async def _ask_for_changes(self, channel: _Channel) -> bool:
+        """The next call of a watch; where no list is known, that for the whole list, which waits for nothing."""
+        if self.version is None:
+            return await self._ask(channel, LIST_PATH, ANSWER_TIMEOUT)
+        target = f"{LIST_PATH}?from={self.version}&hold_ms={int(self.hold * 1000)}"
+        return await self._ask(channel, target, self.hold + ANSWER_TIMEOUT)
+
     async def _fetching(self) -> None:
         channel = _Channel()
         try:
@@ -223,10 +253,3 @@
         self.heard.set()
         self.on_list(listing)
         return True
-    async def _ask_for_changes(self, channel: _Channel) -> bool:
-        """The next call of a watch; where no list is known, that for the whole list, which waits for nothing."""
-        if self.version is None:
-            return await self._ask(channel, LIST_PATH, ANSWER_TIMEOUT)
-        target = f"{LIST_PATH}?from={self.version}&hold_ms={int(self.hold * 1000)}"
-        return await self._ask(channel, target, self.hold + ANSWER_TIMEOUT)
-
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,6 +6,9 @@
 import json
 import signal
 from pathlib import Path
+from typing import Any
+
+import pytest
 
 from netkit import (
     PATIENCE,
@@ -17,6 +20,7 @@
     free_address,
     listing,
     proxy,
+    response,
     run,
     start_program,
     until_ready,
@@ -41,6 +45,58 @@
     run(test())
 
 
+def until_close(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
+
+
+def chunked(body: bytes) -> bytes:
+    half = len(body) // 2
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in (body[:half], body[half:]))
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+def after_interim(body: bytes) -> bytes:
+    return b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + response(200, body)
+
+
+@pytest.mark.parametrize("form", [until_close, chunked, after_interim])
+def test_a_list_may_come_in_any_form_and_in_single_bytes(form: Any) -> None:
+    """An answer may end with its connection, in chunks, behind an interim one; its JSON may be indented."""
+
+    async def test() -> None:
+        one, two = Backend(), await Backend().start()
+        told = listing(2, endpoint("s-2", two.address))
+        whole = form(json.dumps(told, indent=2).encode())
+        discovery = Discovery()
+        asked = 0
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal asked
+            while await reader.readuntil(b"\r\n\r\n"):
+                asked += 1
+                if asked > 1:
+                    discovery.asked.put_nowait("again")
+                    await reader.read()
+                    break
+                for byte in whole:
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+                if form is until_close:
+                    writer.close()
+                    break
+
+        discovery.server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        host, port = discovery.server.sockets[0].getsockname()[:2]
+        discovery.address = f"{host}:{port}"
+        async with proxy({"s-1": one}, discovery) as node, asyncio.timeout(PATIENCE):
+            assert await discovery.asked.get() == "again"  # the list has been taken
+            assert (await (await node.caller()).call("canje", "1" * 16)).code == 200
+        assert (one.count, two.count) == (0, 1)
+        await two.stop()
+
+    run(test())
+
+
 def test_after_sighup_a_first_call_without_an_answer_is_repeated_in_time(tmp_path: Path) -> None:
     async def test() -> None:
         old, new = await Discovery().start(), await Discovery().start()
