Watch discovery from the start where the settings say that lists are pushed

What discovery has counts as told from the first moment there.

Change: the driver opens a watch when it starts; a failed one is repeated by the module as before.

Measured: the test waits for a first call that never comes without the change (seen); with it a drain told by the watch is followed.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -168,6 +168,8 @@
             raise ConfigError(f"bad configuration: known: {fault}") from None
 
     def start(self) -> None:
+        if not self.settings.ask_for_list:
+            self.feed.watch(True)  # lists count as pushed from the first moment, and the module asks for none
         self._flush()
 
     def stop(self) -> None:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -277,6 +277,8 @@
 def config(discovery: str, known: dict[str, Any], listen: str, **changes: Any) -> dict[str, Any]:
     limits = {"cores": 1.0, "memory_mb": changes.pop("memory_mb", 192),
               "sockets": changes.pop("sockets", 1024)}  # fmt: skip
+    if "discovery_mode" in changes:  # the setting has the name of the address
+        changes["discovery"] = changes.pop("discovery_mode")
     return {"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "limits": limits, "known": known, "settings": copy.deepcopy({**SETTINGS, **changes})}  # fmt: skip
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -45,6 +45,23 @@
     run(test())
 
 
+def test_pushed_lists_are_watched_from_the_first_moment() -> None:
+    async def test() -> None:
+        discovery = await Discovery().start()
+        one, two = Backend(), await Backend().start()
+        async with proxy({"s-1": one}, discovery, discovery_mode="push") as node, asyncio.timeout(PATIENCE):
+            assert (await discovery.asked.get()).startswith("/v1/servers?from=1&hold_ms=")
+            discovery.put(2, endpoint("s-1", one.address, "Terminating"), endpoint("s-2", two.address))
+            assert (await discovery.asked.get()).startswith("/v1/servers?from=2&")
+            assert (await (await node.caller()).call("canje", "1" * 16)).code == 200
+            discovery.changes.put_nowait(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+            assert (await discovery.asked.get()).startswith("/v1/servers?from=2&")
+        assert (one.count, two.count) == (0, 1)
+        await two.stop()
+
+    run(test())
+
+
 def until_close(body: bytes) -> bytes:
     return b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
 
