Tell a server the time that is left when the attempt begins, not when it is decided

Cause: `X-Budget` was put into the request when the attempt was decided on. If a connection had to be made first, all of the connect's time, up to `connect_timeout` (0.25 s with some settings, more than the 0.15 s allowed), was told to the server although the client no longer had it.

Change: an exchange asks for its bytes when it writes them.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -368,11 +368,16 @@
             return
         timeout = min(action.timeout, call.deadline - time.monotonic())
         request = call.request
-        head = request.head + request.framing() + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
 
         def may_start() -> bool:
             return call.open and upstream.serving
 
+        def message() -> bytes:
+            """With the time that is left now: a connect has taken some of it."""
+            left = timeout if exchange.coming else exchange.due - time.monotonic()
+            budget = b"x-budget: %du\r\n\r\n" % max(1, int(left * 1e6))
+            return request.head + request.framing() + budget + request.body
+
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
@@ -380,7 +385,7 @@
             return self._answer_begins(call, number, action.server, exchange, length)
 
         exchange = Exchange(
-            upstream, head + request.body, max(0.0, timeout), may_start, done, self.desk.ledger.tried, begun
+            upstream, message, max(0.0, timeout), may_start, done, self.desk.ledger.tried, begun
         )
         if request.upload is not None:
             exchange.upload = request.upload
@@ -471,7 +476,8 @@
                 status = api.Status.FULL  # not asked, so nothing is known against it
             self._push(api.Probed(action.server, status, exchange.elapsed, report))
 
-        self.upstreams.start(Exchange(upstream, request, PROBE_TIMEOUT, lambda: upstream.serving, done))
+        probe = Exchange(upstream, lambda: request, PROBE_TIMEOUT, lambda: upstream.serving, done)
+        self.upstreams.start(probe)
 
     def _set_timer(self, action: api.SetTimer) -> None:
         due = time.monotonic() + action.delay
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -185,7 +185,7 @@
     def begin(self, exchange: Exchange) -> None:
         assert self.transport is not None
         self.exchange = exchange
-        self.transport.write(exchange.request)
+        self.transport.write(exchange.request())
         if exchange.upload is None:
             exchange.went_out()
         else:
--- /dev/null
+++ b/tests/test_attempts_sockets.py
@@ -0,0 +1,80 @@
+"""When an attempt may begin and what it tells, where its caller, its connection or its window ends just then."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from pathlib import Path
+
+from netkit import (
+    PATIENCE,
+    SETTINGS,
+    Backend,
+    Discovery,
+    endpoint,
+    proxy,
+    read_message,
+    response,
+    run,
+)
+
+SYN_SENT = "02"  # /proc/net/tcp
+SLACK = 0.15  # s, by which an attempt may tell more than its caller has left
+LONG_CONNECT = {**SETTINGS["policy_limits"], "connect_timeout": 10.0, "probes": False}
+
+
+class BusyListener:
+    """A backend whose queue of new connections is full: a connect is lost, and comes up when it is repeated."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self.filling = socket.create_connection(("127.0.0.1", self.port))
+
+    async def until_connect_is_lost(self) -> None:
+        wanted = f"0100007F:{self.port:04X} {SYN_SENT} "
+        while wanted not in Path("/proc/net/tcp").read_text():
+            await asyncio.sleep(0.005)
+
+    def make_room(self) -> None:
+        self.listener.accept()[0].close()
+        self.filling.close()
+
+    async def connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        self.listener.setblocking(False)
+        accepted, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        return await asyncio.open_connection(sock=accepted)
+
+
+def microseconds(told: str) -> float:
+    assert told.endswith("u")
+    return int(told[:-1]) / 1e6
+
+
+def test_an_attempt_whose_connection_came_up_late_tells_what_is_left_then() -> None:
+    async def test() -> None:
+        busy, discovery = BusyListener(), await Discovery().start()
+        async with proxy({"s-1": Backend()}, discovery, policy_limits=LONG_CONNECT) as node:
+            discovery.put(2, endpoint("s-2", busy.address), snapshot=True)
+            await discovery.asked.get()
+            async with asyncio.timeout(PATIENCE):
+                while not (await discovery.asked.get()).startswith("/v1/servers?from=2"):
+                    pass
+                caller = await node.caller()
+                began = time.monotonic()
+                caller.send("canje", "1" * 16, budget="2600m")
+                await busy.until_connect_is_lost()
+                busy.make_room()
+                reader, writer = await busy.connection()
+                _, headers, _ = await read_message(reader)
+                left = 2.6 - (time.monotonic() - began)
+                writer.write(response(200, b"served"))
+                assert (await caller.answer()).body == b"served"
+            assert left < 2.1  # the connect did take long
+            assert microseconds(headers["x-budget"]) <= left + SLACK
+
+    run(test())
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -133,7 +133,7 @@
         (upstream,) = upstreams.by_id.values()
         done: asyncio.Future[Exchange] = asyncio.get_running_loop().create_future()
         request = b"GET /stock HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n"
-        upstreams.start(Exchange(upstream, request, PATIENCE, lambda: True, done.set_result))
+        upstreams.start(Exchange(upstream, lambda: request, PATIENCE, lambda: True, done.set_result))
         exchange = await done
         await backend.stop()
         return exchange.status
