Begin no repeat of a keyed request after its window, however late a connection comes up

Cause: the window was looked at when a further attempt was decided on; its bytes went out when the connection came up, up to `connect_timeout` later, where the servers may no longer drop a repeat.

Change: `Send` tells within which time the attempt must begin, and the driver asks for it right before the first byte. An attempt that may not begin is moot, as one to a server that drains meanwhile.

--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -282,6 +282,7 @@
     call: int
     server: int
     timeout: float
+    start_within: float = math.inf  # seconds in which it must begin: the window of a repeat may end
 
 
 @dataclass(slots=True)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -221,12 +221,20 @@
     def send(self, call: Call, server: Server, now: float, timeout: float, load: float) -> Attempt | None:
         if not self.may_send(call, server, now):
             return None
+        timeout = max(STEP / 10, min(timeout, call.deadline - now))
+        self.actions.append(Send(call.id, server.id, timeout, self.start_within(call, now)))
         attempt = Attempt(call, len(call.attempts), server, now, load)
         call.attempts.append(attempt)
         call.out += 1
-        self.actions.append(Send(call.id, server.id, max(STEP / 10, min(timeout, call.deadline - now))))
         return attempt
 
+    def start_within(self, call: Call, now: float) -> float:
+        """How long a further attempt may take to begin (seconds): a connection may be slow to come up."""
+        first = self.may_have_run(call)
+        if first is None or call.cls.effect is not Effect.BY_KEY:
+            return math.inf
+        return first.sent_at + call.cls.window - now
+
     def answer(self, call: Call, retry_after: float = 0.0) -> None:
         """The final answer: a refusal where it may be said that a further try is harmless, else a failure."""
         if call.ended:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -368,9 +368,11 @@
             return
         timeout = min(action.timeout, call.deadline - time.monotonic())
         request = call.request
+        start_before = time.monotonic() + action.start_within
 
         def may_start() -> bool:
-            return call.open and upstream.serving
+            """A slow connect may end when the repeat's window has passed."""
+            return call.open and upstream.serving and time.monotonic() <= start_before
 
         def message() -> bytes:
             """With the time that is left now: a connect has taken some of it."""
--- a/tests/test_attempts_sockets.py
+++ b/tests/test_attempts_sockets.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import socket
 import time
 from pathlib import Path
 
 from netkit import (
+    GRADES,
     PATIENCE,
     SETTINGS,
     Backend,
     Discovery,
+    Seen,
     endpoint,
     proxy,
     read_message,
@@ -78,3 +81,32 @@
             assert microseconds(headers["x-budget"]) <= left + SLACK
 
     run(test())
+
+
+def test_a_repeat_does_not_begin_after_its_window_when_its_connection_comes_up_late() -> None:
+    grades = copy.deepcopy(GRADES)
+    grades[1]["window"] = 0.5
+
+    async def test() -> None:
+        busy, discovery = BusyListener(), await Discovery().start()
+        one = Backend()
+
+        async def vanish(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            discovery.put(2, endpoint("s-1", one.address), endpoint("s-2", busy.address))
+            while not (await discovery.asked.get()).startswith("/v1/servers?from=2"):
+                pass
+            writer.transport.abort()
+
+        one.behave = vanish
+        async with proxy({"s-1": one}, discovery, grades=grades, policy_limits=LONG_CONNECT) as node:
+            caller = await node.caller()
+            caller.send("reserva", "1" * 16, budget="4000m")
+            async with asyncio.timeout(PATIENCE):
+                await busy.until_connect_is_lost()
+                busy.make_room()
+                reader, _ = await busy.connection()
+                assert (await caller.answer()).code in (502, 504)
+            node.process.kill()
+            assert await reader.read() == b""  # nothing was written to it
+
+    run(test())
