Ask the kernel whether the caller is still there before each attempt

Cause: a caller's close is learned by reading. Behind a pipelined request, a full peer or a body that no server takes, the proxy does not read; and in a process that stood still, or a crowd's queue, a request and the close behind it are read one after the other, with the attempt begun between them.

--- a/granitepoint/net/client.py
+++ b/granitepoint/net/client.py
@@ -16,6 +16,7 @@
 from granitepoint.net.listener import seen
 from granitepoint.net.peer import Asked, Peer, Source
 from granitepoint.net.request import BadRequest, Request, class_of, origin_form, read_head
+from granitepoint.net.sockets import peer_has_closed
 from granitepoint.net.tls import subject
 from granitepoint.net.upload import Upload
 
@@ -399,6 +400,16 @@
                 self.transport.write(b"0\r\n\r\n")
             self._answered(turn, 200)
 
+    def hung_up(self) -> bool:
+        """Whether the caller has closed its connection. The kernel is asked: where the loop reads nothing, or
+        has not come round to it, the close would be learned too late."""
+        if self.transport is None:
+            return True
+        if not peer_has_closed(self.transport.get_extra_info("socket").fileno()):
+            return False
+        self.transport.abort()
+        return True
+
     def abort(self) -> None:
         """The rest does not come. The caller sees it: neither the length nor the last chunk is there."""
         turn, self.turn, self.source, self.call = self.turn, None, None, None
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -371,8 +371,9 @@
         start_before = time.monotonic() + action.start_within
 
         def may_start() -> bool:
-            """A slow connect may end when the repeat's window has passed."""
-            return call.open and upstream.serving and time.monotonic() <= start_before
+            """A slow connect may end when the repeat's window has passed, or its caller has left."""
+            in_time = time.monotonic() <= start_before
+            return call.open and upstream.serving and in_time and not call.reply.hung_up()
 
         def message() -> bytes:
             """With the time that is left now: a connect has taken some of it."""
--- a/granitepoint/net/peer.py
+++ b/granitepoint/net/peer.py
@@ -49,6 +49,10 @@
     """Where a call's answer goes: whole by `answer`, or served in parts by `begin`, `send`, then `finish` or
     `abort`."""
 
+    def hung_up(self) -> bool:
+        """Whether the caller has closed its connection, also where that was not read yet."""
+        ...
+
     def answer(self, code: int, headers: Any, body: bytes) -> None: ...
 
     def begin(self, headers: Any, length: int | None, source: Source) -> None: ...
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -62,6 +62,9 @@
 class Unheard:
     """Where a mirrored copy's answer goes."""
 
+    def hung_up(self) -> bool:
+        return False
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         pass
 
@@ -94,6 +97,9 @@
         self.name, self.call = name, None
         self.call = self.pools.hand_on(self.served[name], self.request, self)
 
+    def hung_up(self) -> bool:
+        return self.reply.hung_up()
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         unsent = self.call is None or not self.call.attempts
         if code == 503 and unsent and self.moves < MOST_MOVES and not self.served[self.name].members.usable:
--- /dev/null
+++ b/granitepoint/net/sockets.py
@@ -0,0 +1,40 @@
+"""What the kernel knows of a connection and the event loop has not told yet."""
+
+from __future__ import annotations
+
+import select
+import socket
+
+HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+
+def _events(fileno: int) -> int:
+    poller = select.poll()
+    poller.register(fileno, select.POLLIN | select.POLLRDHUP)
+    return next((events for _, events in poller.poll(0)), 0)
+
+
+def peer_has_closed(fileno: int) -> bool:
+    """Whether the peer has closed its side, also behind bytes that were not read yet."""
+    events = _events(fileno)
+    if events & HUNG_UP:
+        return True
+    return bool(events & select.POLLIN) and _at_end(fileno)
+
+
+def has_unread(fileno: int) -> bool:
+    """Whether bytes, or the peer's close, wait to be read."""
+    return bool(_events(fileno))
+
+
+def _at_end(fileno: int) -> bool:
+    """Whether the next read finds the end of the stream."""
+    borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fileno)
+    try:
+        return borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        borrowed.detach()
--- a/tests/test_attempts_sockets.py
+++ b/tests/test_attempts_sockets.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import copy
+import os
+import signal
 import socket
 import time
 from pathlib import Path
@@ -20,6 +22,7 @@
     read_message,
     response,
     run,
+    serve_ok,
 )
 
 SYN_SENT = "02"  # /proc/net/tcp
@@ -110,3 +113,62 @@
             assert await reader.read() == b""  # nothing was written to it
 
     run(test())
+
+
+def test_what_a_caller_sent_before_it_closed_is_not_sent_on_later() -> None:
+    """It wrote two requests and closed: the proxy reads no further than its answers, so the close lies behind
+    the second one, which would begin only when the first one ends."""
+
+    async def test() -> None:
+        answer_now = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if seen.headers["x-call-id"] == "1" * 16:
+                await answer_now.wait()
+            await serve_ok(seen, writer)
+
+        backend = Backend(behave)
+        async with proxy({"s-1": backend}) as node, asyncio.timeout(PATIENCE):
+            caller = await node.caller()
+            caller.send("canje", "1" * 16)
+            caller.send("canje", "2" * 16)
+            caller.send("canje", "3" * 16)
+            await backend.calls.get()
+            caller.writer.write_eof()
+            answer_now.set()
+            await caller.reader.read()  # until the proxy closes
+            assert (await (await node.caller()).call("canje", "4" * 16)).code == 200
+            assert backend.count == 2
+
+    run(test())
+
+
+def test_a_request_whose_caller_closed_while_the_process_stood_still_is_not_sent_on() -> None:
+    async def test() -> None:
+        backend = Backend()
+        limits = {**SETTINGS["policy_limits"], "probes": False}  # so that a call is sent in the turn it comes in
+        async with proxy({"s-1": backend}, policy_limits=limits, quantum=0.0) as node, asyncio.timeout(PATIENCE):
+            kept = await node.caller()
+            assert (await kept.call("canje", "1" * 16)).code == 200  # there is a connection to be used
+            node.process.send_signal(signal.SIGSTOP)
+            while "T" not in stat_of(node.process.pid):
+                await asyncio.sleep(0)
+            caller = await node.caller()
+            caller.send("canje", "2" * 16)
+            caller.writer.close()
+            await caller.writer.wait_closed()
+            node.process.send_signal(signal.SIGCONT)
+            assert (await kept.call("canje", "3" * 16)).code == 200
+            assert (await kept.call("canje", "4" * 16)).code == 200
+            assert backend.count == 3
+
+    run(test())
+
+
+def stat_of(process: int) -> str:
+    """The state of a process, as one letter."""
+    return Path(f"/proc/{process}/stat").read_text().rpartition(")")[2].split()[0]
+
+
+def test_the_helper_reads_a_process_state() -> None:
+    assert stat_of(os.getpid()) in "RS"
