Try an ejected server by a call where the settings allow no probes

Cause: an ejection ended only by the answer to a probe (`on_probed`), and `probe` returns at once where probes are not allowed. A cut of some seconds ejects every server across it, and none of them ever came back.

Change: where probes are not allowed, a server whose ejection is over is readmitted on trial, with one call at a time; a failure ejects it for longer. The count of ejections in a row is bounded, as it was for probes: after 1,024 the time of the next one ended in an OverflowError.

Both tests fail without the change (seen).

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -84,6 +84,7 @@
 RESCUE_AGE = 4.0  # mean latencies after which a call is taken to be stuck
 EJECT_FIRST = 0.5  # s of the first ejection; doubles up to EJECT_LONGEST
 EJECT_LONGEST = 8.0  # s
+MOST_EJECTIONS = 6  # ejections in a row that are counted: enough to reach EJECT_LONGEST
 EJECT_SHARE = 0.34  # share of the pool that soft signs may eject: if more look ill, the cause lies elsewhere
 ALIVE = 1.0  # s since its last answer within which a server is not taken to be dead
 CONNECTIONS_FULL = 5.0  # s for which a server without room gets no further connection
@@ -699,7 +700,7 @@
         if not hard and sum(1 for s in self.pool if s.ejected_until) + 1 > EJECT_SHARE * len(self.pool):
             return False
         length = min(EJECT_LONGEST, EJECT_FIRST * 2**server.ejections)
-        server.ejections += 1
+        server.ejections = min(server.ejections + 1, MOST_EJECTIONS)
         server.ejected_until = now + length * (0.75 + 0.5 * self.random.random())
         server.trial = False
         return True
@@ -1048,7 +1049,7 @@
             server.fail_streak += 1
             if server.ejected_until:
                 server.ejected_until = self.now + min(EJECT_LONGEST, EJECT_FIRST * 2**server.ejections)
-                server.ejections = min(server.ejections + 1, 6)
+                server.ejections = min(server.ejections + 1, MOST_EJECTIONS)
             elif server.fail_streak >= 2 and server.last_ok < self.now - self.servers.unit:
                 self.eject(server, hard=True)
 
@@ -1073,6 +1074,7 @@
         servers.fill_tokens(now, span)
         admission.standing, admission.crowd = servers.standing(now, span)
         servers.idle_safe = min(self.settings.conn_idle, servers.idle_safe * (1 + span / IDLE_DOUBLES))
+        self.recover_ejected()
         self.probe(span)
         admission.set_cut()
 
@@ -1125,16 +1127,25 @@
         elif self.settings.may_cancel:
             self.actions.append(Cancel(call.id, attempt.number))
 
+    def recover_ejected(self) -> None:
+        """A server whose ejection is over is probed; where probes are not allowed, a call tries it."""
+        now, servers = self.now, self.servers
+        due = [s for s in servers.known.values() if s.ejected_until and now >= s.ejected_until]
+        for server in due:
+            if server.state is not ServerState.SERVING:
+                continue
+            if not self.settings.may_probe:
+                servers.readmit(server, now)
+            elif not server.probe_out:
+                self.send_probe(server)
+        if due and not self.settings.may_probe:
+            servers.fill_pool(now)
+
     def probe(self, span: float) -> None:
         if not self.settings.may_probe or not self.servers.pool:
             return
-        now = self.now
         rate = max(PROBES_LEAST, PROBES_PER_CALL * self.admission.rate)
         self.probe_tokens = max(self.probe_tokens, min(2.0, self.probe_tokens + rate * span))
-        for server in self.servers.known.values():
-            due = server.ejected_until and now >= server.ejected_until and not server.probe_out
-            if due and server.state is ServerState.SERVING:
-                self.send_probe(server)
         while self.probe_tokens >= 1 and not self.asks:
             idle = [s for s in self.servers.pool if not s.probe_out and not s.ejected_until]
             if not idle:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -311,6 +311,31 @@
     assert not driver.balancer.servers.known[send.server].ejected_until
 
 
+def test_without_probes_a_call_tries_a_server_whose_ejection_is_over() -> None:
+    """Nothing else would bring it back: after a cut of a few seconds no server would be left for good."""
+    driver = Driver(settings(may_probe=False, max_attempts=1), servers=entries(1, 2))
+    for call in (1, 2):
+        driver.settle(only_send(driver.arrive(call)), Status.CONNECT_FAILED)
+        driver.wait(0.01)
+    assert all(server.ejected_until for server in driver.balancer.servers.known.values())
+    driver.wait(1.0)
+    tried, other = only_send(driver.arrive(3)), only_send(driver.arrive(4))
+    assert tried.server != other.server  # on trial: one call at a time
+    driver.settle(tried, Status.OK)
+    driver.settle(other, Status.CONNECT_FAILED)
+    known = driver.balancer.servers.known
+    assert not known[tried.server].ejected_until and not known[tried.server].trial
+    assert known[other.server].ejected_until > driver.now
+
+
+def test_a_server_may_be_ejected_any_number_of_times() -> None:
+    driver = Driver(settings(may_probe=False), servers=entries(1, 2))
+    servers = driver.balancer.servers
+    for _ in range(1100):
+        assert servers.eject(servers.known[1], driver.now, hard=True)
+        servers.readmit(servers.known[1], driver.now)
+
+
 def test_soft_ejection_is_capped() -> None:
     # When everything is slow, no server is at fault.
     driver = Driver(settings(), servers=entries(*range(1, 7)))
