--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -226,7 +226,7 @@
             channel.close()
 
     async def _ask_for_changes(self, channel: _Channel) -> bool:
-        """The next call of a watch; where no list is known, that for the whole list, which waits for nothing."""
+        """The next call of a watch; where no list is known, for the whole one, which waits for nothing."""
         if self.version is None:
             return await self._ask(channel, LIST_PATH, ANSWER_TIMEOUT)
         target = f"{LIST_PATH}?from={self.version}&hold_ms={int(self.hold * 1000)}"
--- a/granitepoint/net/exchange.py
+++ b/granitepoint/net/exchange.py
@@ -25,10 +25,10 @@
     """One request to one backend, from the decision to send until its one end.
 
     `may_start` is asked right before the first byte goes out, also after a slow connect: meanwhile the call
-    may have ended or the backend begun to drain. Only then `request` is asked for the bytes, which may tell how
-    much time is left. `written` is told when the last byte of the request goes
-    out, `begun` when an answer is to be passed on as it comes (it sets `sink`, or says that nobody wants it),
-    and `done` once, with `status` set.
+    may have ended or the backend begun to drain. Only then `request` is asked for the bytes, which may tell
+    how much time is left. `written` is told when the last byte of the request goes out,
+    `begun` when an answer is to be passed on as it comes (it sets `sink`, or says that nobody wants it), and
+    `done` once, with `status` set.
     """
 
     __slots__ = (
--- a/tests/test_attempts_sockets.py
+++ b/tests/test_attempts_sockets.py
@@ -1,4 +1,4 @@
-"""When an attempt may begin and what it tells, where its caller, its connection or its window ends just then."""
+"""When an attempt may begin and what it tells, where its caller, connection or window ends just then."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class BusyListener:
-    """A backend whose queue of new connections is full: a connect is lost, and comes up when it is repeated."""
+    """A backend whose queue of new connections is full: a connect is lost, and comes up when repeated."""
 
     def __init__(self) -> None:
         self.listener = socket.socket()
@@ -146,8 +146,9 @@
 def test_a_request_whose_caller_closed_while_the_process_stood_still_is_not_sent_on() -> None:
     async def test() -> None:
         backend = Backend()
-        limits = {**SETTINGS["policy_limits"], "probes": False}  # so that a call is sent in the turn it comes in
-        async with proxy({"s-1": backend}, policy_limits=limits, quantum=0.0) as node, asyncio.timeout(PATIENCE):
+        limits = {**SETTINGS["policy_limits"], "probes": False}  # a call is sent in the turn it comes in
+        started = proxy({"s-1": backend}, policy_limits=limits, quantum=0.0)
+        async with started as node, asyncio.timeout(PATIENCE):
             kept = await node.caller()
             assert (await kept.call("canje", "1" * 16)).code == 200  # there is a connection to be used
             node.process.send_signal(signal.SIGSTOP)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import pytest
-
 from netkit import (
     PATIENCE,
     SETTINGS,
