Answer all that was read before a close, and close over nothing unread

Cause, three ways by which a request or an answer got lost in a close: - A proxy that leaves, or is short of descriptors, ended the connection with the next answer; pipelined requests that it had read behind that were dropped, and the process could end before them. - The last answer was followed by a close. Bytes that had come meanwhile made it a reset, which takes what is left of the answer with it. - An idle, slow or evicted connection was closed though its request had just arrived and was not read yet.

Change: an answer is the last one only where none is owed behind it, a leaving proxy reads no further while it owes one, and it ends when no connection is owed any. After a last answer only this side ends; what comes is read and dropped until the peer closes, for 1 s after the last byte. Before a close that nobody asked for the kernel is asked for unread bytes. So that refused callers still make room at once, a connection whose answer has arrived (`TIOCOUTQ`) gives way without that wait.

--- a/granitepoint/limits/room.py
+++ b/granitepoint/limits/room.py
@@ -39,6 +39,9 @@
     @property
     def changed_at(self) -> float: ...  # when bytes last came or went
 
+    @property
+    def delivered(self) -> bool: ...  # all that was written has arrived, and nothing unread has come
+
 
 G = TypeVar("G", bound=Guest)
 
@@ -76,7 +79,7 @@
     if stage is Stage.IDLE:
         return 0, guest.changed_at
     if stage is Stage.ENDING:
-        return (1, guest.changed_at) if still > LINGER else None
+        return (1, guest.changed_at) if still > LINGER or guest.delivered else None
     age = now - guest.begun
     if stage is Stage.COMING and age > YOUNG:
         score = -(still + AGE_WEIGHT * age)
--- a/granitepoint/net/client.py
+++ b/granitepoint/net/client.py
@@ -13,10 +13,9 @@
 from granitepoint.limits.memory import WHOLE
 from granitepoint.limits.pace import Pace
 from granitepoint.limits.room import Stage
-from granitepoint.net.listener import seen
 from granitepoint.net.peer import Asked, Peer, Source
 from granitepoint.net.request import BadRequest, Request, class_of, origin_form, read_head
-from granitepoint.net.sockets import peer_has_closed
+from granitepoint.net.sockets import all_acknowledged, has_unread, peer_has_closed
 from granitepoint.net.tls import subject
 from granitepoint.net.upload import Upload
 
@@ -28,7 +27,7 @@
 MOST_BODY = 32 * 1024 * 1024  # bytes of a request's body
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
 MOST_RAW = 2 * (MOST_HEAD + WHOLE)  # bytes of what is held as it comes; the parser holds what is unfinished
-LINGER = 1.0  # s for which what still comes after a last answer to bad input is read and dropped
+LINGER = 1.0  # s for which what still comes after a last answer is read and dropped
 REASONS = {
     200: b"OK", 301: b"Moved Permanently", 302: b"Found", 303: b"See Other", 307: b"Temporary Redirect",
     308: b"Permanent Redirect", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found", 409: b"Conflict",
@@ -41,12 +40,13 @@
 class Turn:
     """One message as it waits for its answer. `what`: None asks whether the proxy is ready."""
 
-    __slots__ = ("asked", "bodyless", "keep_alive", "old", "taken", "upload", "what")
+    __slots__ = ("asked", "bodyless", "keep_alive", "last", "old", "taken", "upload", "what")
 
     def __init__(self, what: Request | BadRequest | None) -> None:
         self.what = what
         self.upload: Upload | None = None  # its body is passed on while it comes
         self.keep_alive = False
+        self.last = False  # the connection is to end with this answer, if none is owed behind it
         self.bodyless = False  # HEAD: its answer has no body
         self.old = False  # HTTP/1.0
         self.taken = False  # it has come whole, and is counted
@@ -121,7 +121,9 @@
             return
         upload = self.coming.upload if self.coming is not None else None
         stuck = upload is not None and upload.waiting
-        pause = not self.dropping and (self.full or bool(self.waiting) or stuck)
+        # What is read gets its answer. So that these come to an end, a proxy that leaves reads no further.
+        enough = bool(self.waiting) or (self.server.draining and self.turn is not None and not self.inside)
+        pause = not self.dropping and (self.full or enough or stuck)
         if pause == self.paused:
             return
         self.paused = pause
@@ -262,7 +264,7 @@
         self.headers = []
         if self.dropping:
             self.dropping = False
-            self.close(True)
+            self._finish()
             return
         request = turn.what
         if isinstance(request, Request):
@@ -324,7 +326,7 @@
                 for watcher in self.server.watchers:
                     watcher.begun(turn.asked)
             if self.peer is not None and self.peer.denied:
-                turn.keep_alive = False
+                turn.last = True
                 self.answer(403, NO_HEADERS, b"this address is not admitted\n")
             elif request is None:
                 ready = self.server.ready()
@@ -333,7 +335,7 @@
                 self.answer(request.code, request.headers, f"{request}\n".encode())
             elif self.server.full:
                 # Never sent, so a refusal is harmless.
-                turn.keep_alive = False
+                turn.last = True
                 self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
             else:
                 try:
@@ -353,7 +355,8 @@
         return self.turn
 
     def _head(self, turn: Turn, code: int, headers: Any, length: int | None) -> bytes:
-        if self.server.last or turn is self.coming:
+        last = (turn.last or self.server.last) and not self.waiting  # a request that was read has its answer
+        if last or turn is self.coming:
             turn.keep_alive = False
         parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASONS.get(code, b"Status"))]
         parts += [name + b": " + value + b"\r\n" for name, value in headers]
@@ -431,19 +434,37 @@
                 turn.upload.drop()
             self._forget()
             self._flow()
-        elif not turn.keep_alive and self.closing:
-            # The peer may still be sending. Closing on unread bytes resets the connection, which can take
-            # the answer with it: first only this side ends.
-            self._forget()
-            if transport.can_write_eof():  # TLS has no such half end; there the answer's length tells it
-                transport.write_eof()
-            self.server.loop.call_later(LINGER, transport.abort)
         elif not turn.keep_alive:
-            self.closing = True
-            self._forget()
-            transport.close()
+            self._finish()
         elif self.waiting:
             self.server.loop.call_soon(self._next)
+        else:
+            self._flow()
+
+    def _finish(self) -> None:
+        """The last answer has been written. The peer may still be sending, and closing over unread bytes
+        resets the connection, which can take the answer with it: first only this side ends (RFC 9112,
+        section 9.6)."""
+        self.closing, self.dropping = True, False
+        self._forget()
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.can_write_eof():  # TLS has no such half end; there the answer's length tells it
+            transport.write_eof()
+        transport.resume_reading()
+        self.paused = False
+        self.server.loop.call_later(LINGER, self._linger)
+
+    def _linger(self) -> None:
+        """The peer has had its time to close, which begins when the last byte of its answer has gone out."""
+        transport = self.transport
+        if transport is None:
+            return
+        if transport.get_write_buffer_size():
+            self.server.loop.call_later(LINGER, self._linger)
+        else:
+            transport.abort()
 
     @property
     def stage(self) -> Stage:
@@ -455,10 +476,19 @@
 
     @property
     def unread(self) -> bool:
-        """Whether its first bytes have come and were not read yet: then nothing can be said of it."""
-        if self.received or self.asked_before or self.transport is None:
+        """Whether bytes have come that were not read yet: then nothing can be said of what is due."""
+        if self.transport is None or self.transport.is_closing():
             return False
-        return seen(self.transport.get_extra_info("socket"))[1] > 0
+        return has_unread(self.transport.get_extra_info("socket").fileno())
+
+    @property
+    def delivered(self) -> bool:
+        """Whether a close now takes nothing with it: all that was written has arrived."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        fileno = self.transport.get_extra_info("socket").fileno()
+        written = self.transport.get_write_buffer_size() == 0 and all_acknowledged(fileno)
+        return written and not has_unread(fileno)
 
     def overdue(self, now: float) -> bool:
         """Whether a request that is awaited does not come; not where another is owed its answer."""
@@ -466,10 +496,16 @@
             return False
         return self.pace.due < now and not self.waiting
 
-    def close(self, dropped: bool = False) -> None:
-        if self.transport is not None and (dropped or not self.closing or self.dropping):
-            self.closing, self.dropping = True, False
-            self.transport.close()
+    def close(self) -> None:
+        """Ends it where no answer is owed. What comes from now on is not read, so that its sender may repeat
+        it; but where an answer has just gone out, that must not be lost by it."""
+        if self.transport is None or (self.closing and not self.dropping):
+            return
+        if self.asked_before and time.monotonic() < self.changed_at + LINGER:
+            self._finish()
+            return
+        self.closing, self.dropping = True, False
+        self.transport.close()
 
     def end(self) -> None:
         """Whatever is still to be written is dropped, so that the descriptor is free at once."""
--- a/granitepoint/net/drain.py
+++ b/granitepoint/net/drain.py
@@ -60,7 +60,7 @@
         server.close_idle()
         await asyncio.sleep(LAST_ACCEPT - STILL_COMING)
         await server.entrance.close()
-        while self.owed():
+        while self.owed() or server.owes:
             server.close_idle(partial=True)
             await asyncio.sleep(STEP)
         # All is answered; the last bytes may still be on their way to a slow peer.
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -50,6 +50,11 @@
         """Whether an answer is the last on its connection, for this side's reasons."""
         return self.draining or len(self.connections) >= PRESSED * self.most_open
 
+    @property
+    def owes(self) -> bool:
+        """Whether a request that was read has not got its answer."""
+        return any(connection.stage is Stage.OWED for connection in self.connections)
+
     @property
     def full(self) -> bool:
         """Whether as many requests are open as are served; a further one is refused at once."""
@@ -72,7 +77,7 @@
         for connection in list(self.connections):
             stage = connection.stage
             unused = stage is Stage.IDLE or (stage is Stage.COMING and (partial or not connection.inside))
-            if unused and connection.changed_at <= unused_since:
+            if unused and connection.changed_at <= unused_since and not connection.unread:
                 connection.close()
 
     def abort(self, unused_since: float = math.inf) -> None:
@@ -84,7 +89,7 @@
     def _sweep(self) -> None:
         now = time.monotonic()
         for connection in list(self.connections):
-            if connection.overdue(now):
+            if connection.overdue(now) and not connection.unread:
                 connection.close()
         self.close_idle(now - IDLE)
         self.abort(now - IDLE)
--- a/granitepoint/net/sockets.py
+++ b/granitepoint/net/sockets.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 
+UNSENT = struct.Struct("i")  # what TIOCOUTQ tells: bytes that were not sent or not acknowledged
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -27,6 +31,16 @@
     return bool(_events(fileno))
 
 
+def all_acknowledged(fileno: int) -> bool:
+    """Whether the peer's system has all that was written; False where this system does not tell."""
+    try:
+        answer = fcntl.ioctl(fileno, termios.TIOCOUTQ, bytes(UNSENT.size))
+    except OSError:
+        return False
+    (unsent,) = UNSENT.unpack(answer)
+    return not unsent
+
+
 def _at_end(fileno: int) -> bool:
     """Whether the next read finds the end of the stream."""
     borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fileno)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -27,6 +27,7 @@
     begun: float
     changed_at: float
     received: int = 0
+    delivered: bool = False
 
 
 times = st.floats(0, 10)
@@ -62,6 +63,12 @@
     assert gives_way([Guest(Stage.COMING, 9.3, 9.8, 60), fresh], 10.0) == []
 
 
+def test_an_ending_connection_gives_way_when_its_answer_has_arrived() -> None:
+    arriving, arrived = (Guest(Stage.ENDING, 9.0, 9.95, delivered=at) for at in (False, True))
+    assert gives_way([arriving, arrived], 10.0, 2) == [arrived]
+    assert gives_way([arriving], 10.1) == [arriving]  # its peer takes too long
+
+
 def test_of_the_young_those_give_way_that_lag_most_behind_a_true_client() -> None:
     """None is old enough to be suspected by its silence alone, and places are wanted all the same."""
     writing = Guest(Stage.COMING, 9.8, 9.8, 25)  # a quarter of a head at once: a slow true writer
