Serve a wholly cold fleet, and let no balancer save up calls for a cold server

Cause: a balancer's share of a cold server's budget comes from its own highest send rate. And a share not spent was kept for ever: after a pause each of thirty balancers held a call, to be spent in one burst. Nor did it count that some calls are heavier than the mean one.

Change: where no server is warm the share is at least that of one call at a time, and one call of all balancers in the time that counts; a whole call of budget that is not spent in that time lapses; a call costs its class's mean latency over the mean of all, one at least.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -444,6 +444,7 @@
     def __init__(self, entry: ServerEntry, tokens: float) -> None:
         self.id = entry.server
         self.tokens = tokens  # of the cold budget
+        self.unspent_since = 0.0  # when they last reached a whole call
         self.told(entry)
         self.out = 0  # own attempts out
         self.ejected_until = 0.0  # 0: in use
@@ -488,6 +489,7 @@
         self.learned_on = 0.0  # capacity, in units of weight, that W was learned on
         self.unit = 0.1  # s, the mean latency of a call
         self.aim = max(cls.aim for cls in settings.classes)
+        self.call_time = self.aim  # s of one call, at most: the mean latency once it is known
         self.idle_safe = settings.conn_idle  # s without use after which a connection is still trusted
         self.on_open, self.on_new = Mean(1.0), Mean(1.0)  # mean latencies of a call on such
 
@@ -564,11 +566,28 @@
         share = COLD_SHARE * self.settings.fall_multiple
         # The peak, not the present rate: else few sends allow fewer still, and a fleet in a roll stays cold.
         self.peak_rate = max(self.send_rate, self.peak_rate * (1 - span / PEAK_MEMORY))
+        all_cold = all(self.ramp(server, now) < 1 for server in self.pool)
         for server in self.pool:
             ramp = self.ramp(server, now)
             if ramp < 1:
                 rate = self.peak_rate * server.hint / total * ramp * share
+                if all_cold:
+                    rate = max(rate, self.least_cold_rate(server.hint * ramp * share))
                 server.tokens = min(1.0 + rate * STEP, server.tokens + rate * span)
+                self.lapse(server, now)
+
+    def least_cold_rate(self, scale: float) -> float:
+        """Calls a second that an instance may send to a cold server though it has sent nothing yet that would
+        tell what servers bear. Without it a fleet that is cold as a whole would not be served. Each bears one
+        call at a time, and all instances together one call in the time that counts."""
+        return max(scale / self.call_time, 1 / self.settings.fall_within) / self.settings.balancers
+
+    def lapse(self, server: Server, now: float) -> None:
+        """What is not spent soon is lost: else a burst after a pause spends what all instances saved."""
+        if server.tokens < 1:
+            server.unspent_since = now
+        elif now > server.unspent_since + self.settings.fall_within:
+            server.tokens -= 1
 
     def standing(self, now: float, span: float) -> tuple[float, float]:
         """Share of the capacity that W was learned on which the pool surely has now. Guards against filling
@@ -1070,7 +1089,7 @@
         self.watch()
         self.watch_ages()
         if admission.latency.count:
-            servers.unit = max(admission.latency.value, 1e-3)
+            servers.unit = servers.call_time = max(admission.latency.value, 1e-3)
         servers.fill_tokens(now, span)
         admission.standing, admission.crowd = servers.standing(now, span)
         servers.idle_safe = min(self.settings.conn_idle, servers.idle_safe * (1 + span / IDLE_DOUBLES))
@@ -1232,7 +1251,7 @@
             server.out += 1
             server.since += 1
             if servers.ramp(server, now) < 1:
-                server.tokens -= 1
+                server.tokens -= max(1.0, call.cls.mean.value / servers.unit)  # the budget is in mean calls
             self.busy += 1
             self.sends += 1
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -87,12 +87,13 @@
             connection.begun -= 10.0
             connection.pace.due = time.monotonic() - 1.0 if ending == "overdue" else connection.pace.due
             client.send(rest if ending in ("partial", "overdue") else first + rest)
-            {
+            close: dict[str, Callable[[], None]] = {
                 "idle": server.close_idle,
                 "partial": lambda: server.close_idle(partial=True),
                 "overdue": server._sweep,
                 "evicted": lambda: server._evict(1),
-            }[ending]()
+            }
+            close[ending]()
             async with asyncio.timeout(PATIENCE):
                 assert (await handler.opened_requests.get()).id == b"2"
         await server.entrance.close()
