End an answer that is being passed on and never ends when its caller's time is over

Cause: an answer without a length is passed on 50 ms after its head, one over 64 KiB at once; from there on no deadline held, only that some bytes move within 20 s. A server that stopped in the midst of its answer so kept a request without its end long after its caller's time.

Change: at the deadline an answer that is not whole ends with its connection, so that its caller sees it; a large one, of which only the first bytes are timed, goes on while its server pauses for no more than 2 s.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -40,6 +40,8 @@
 LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
 MOST_PROBES = 32  # at once
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
+STREAM_PAUSE = 2.0  # s that a backend may pause in a large answer whose deadline has passed
+STREAM_LOOK = 0.05  # s between looks whether it moves
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 
 
@@ -302,9 +304,13 @@
 
     def uploaded(self, call: OpenCall) -> None:
         """The last byte of a request that was opened while it came: from here on its time counts."""
-        if not call.open or call.streaming:
+        if not call.open:
             return
         call.deadline = call.request.came + self._limit(call.request) - self._margin()
+        if call.streaming:
+            if call.exchange is not None:
+                self._watch_stream(call, call.exchange)
+            return
         wait = max(0.0, call.deadline - time.monotonic())
         call.timer = self.loop.call_later(wait, self._overdue, call)
 
@@ -405,14 +411,28 @@
         if not call.open:
             return False
         call.streaming = True
-        if call.timer is not None:
-            call.timer.cancel()
+        self._watch_stream(call, exchange)
         self._push(api.StreamStarted(call.number, number, server, exchange.elapsed))
         headers = [pair for pair in exchange.headers if pair[0] not in DROPPED]
         call.reply.begin(headers, length, exchange)
         exchange.sink = call.reply.send
         return True
 
+    def _watch_stream(self, call: OpenCall, exchange: Exchange) -> None:
+        """At its deadline an answer that is being passed on has to be whole, or to be a large one that still
+        moves: of that only the first bytes are timed. Else the end of the connection tells its caller."""
+        if call.timer is not None:
+            call.timer.cancel()
+        if not call.open or math.isinf(call.deadline):
+            return
+        now = time.monotonic()
+        left = call.deadline - now
+        moves = exchange.held or now < exchange.moved_at + STREAM_PAUSE
+        if left <= 0 and not (exchange.large and moves):
+            exchange.end(api.Status.TIMEOUT)
+        else:
+            call.timer = self.loop.call_later(max(left, STREAM_LOOK), self._watch_stream, call, exchange)
+
     def _attempt_ended(self, call: OpenCall, number: int, server: int, exchange: Exchange) -> None:
         status = exchange.status
         assert status is not None
--- a/granitepoint/net/exchange.py
+++ b/granitepoint/net/exchange.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from granitepoint.interface import Status
+from granitepoint.limits.memory import WHOLE
 from granitepoint.net.upload import Upload
 
 if TYPE_CHECKING:
@@ -32,9 +33,9 @@
     """
 
     __slots__ = (
-        "begun", "body", "code", "connection", "done", "due", "elapsed", "headers", "loop", "may_start",
-        "moved_at", "request", "sent", "sink", "started_at", "status", "timeout", "timer", "upload",
-        "upstream", "whole", "written",
+        "begun", "body", "code", "connection", "done", "due", "elapsed", "headers", "held", "length",
+        "loop", "may_start", "moved_at", "passed_on", "request", "sent", "sink", "started_at", "status",
+        "timeout", "timer", "upload", "upstream", "whole", "written",
     )  # fmt: skip
 
     def __init__(
@@ -58,6 +59,9 @@
         self.upload: Upload | None = None  # the body that follows `request` while it comes
         self.sink: Callable[[bytes], None] | None = None  # where the answer goes as it comes
         self.moved_at = 0.0  # when bytes of a streamed message last moved
+        self.length: int | None = None  # of its answer's body, where that is told
+        self.passed_on = 0  # bytes of that body that have gone to the sink
+        self.held = False  # the caller takes nothing for now
         self.connection: Connection | None = None
         self.code = 0
         self.headers: list[tuple[bytes, bytes]] = []
@@ -146,18 +150,32 @@
         """Whether the answer is passed on from here as it comes."""
         if code != 200 or self.begun is None or self.status is not None:
             return False
-        self.code, self.headers = code, headers
+        self.code, self.headers, self.length = code, headers, length
         self.elapsed = time.monotonic() - self.started_at
         self.timer.cancel()
         self.moved_at = time.monotonic()
         self.timer = self.loop.call_later(STREAM_STALL, self._out_of_time)
         return self.begun(self, length)
 
+    @property
+    def large(self) -> bool:
+        """Whether its answer is larger than what is held whole."""
+        return max(self.length or 0, self.passed_on) > WHOLE
+
+    def pass_on(self, chunk: bytes) -> None:
+        """The next bytes of an answer that is passed on as it comes."""
+        if self.sink is not None:
+            self.passed_on += len(chunk)
+            self.sink(chunk)
+
     def pause(self) -> None:
+        self.held = True
         if self.connection is not None:
             self.connection.hold(True)
 
     def resume(self) -> None:
+        self.held = False
+        self.moved_at = time.monotonic()
         if self.connection is not None:
             self.connection.hold(False)
 
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -143,7 +143,7 @@
             return
         if exchange.sink is not None:
             exchange.moved_at = self.upstream.heard_at
-            exchange.sink(chunk)
+            exchange.pass_on(chunk)
             return
         self.size += len(chunk)
         self.body.append(chunk)
@@ -163,7 +163,7 @@
         if exchange.begin_answer(code, self.headers, length) and exchange.sink is not None:
             body, self.body = self.body, []
             for chunk in body:
-                exchange.sink(chunk)
+                exchange.pass_on(chunk)
 
     def _no_flush(self) -> None:
         if self.flush_at is not None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -180,18 +180,17 @@
 
 def test_the_first_bytes_of_an_answer_come_while_the_rest_is_held_back() -> None:
     async def test() -> None:
-        go_on = asyncio.Event()
+        go_on_large, go_on_small = asyncio.Event(), asyncio.Event()
 
         async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             if b"/stock" in head:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"a" * 1000)
+                await go_on_large.wait()
+                writer.write(b"a" * 199_000)
             else:
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 writer.write(b"3e8\r\n" + b"a" * 1000 + b"\r\n")
-            await go_on.wait()
-            if b"/stock" in head:
-                writer.write(b"a" * 199_000)
-            else:
+                await go_on_small.wait()
                 writer.write(b"0\r\n\r\n")
 
         async with before(act) as (node, _):
@@ -204,11 +203,13 @@
                     assert b"aaa" in await caller.reader.read(100)
             found = await node.figures()
             assert found["app.in_progress"] == 2
-            await asyncio.sleep(1.1)  # its budget is over, and what streams goes on
-            go_on.set()
+            go_on_small.set()
             async with asyncio.timeout(PATIENCE):
                 rest = await callers[1].reader.readuntil(b"0\r\n\r\n")
                 assert rest.endswith(b"0\r\n\r\n")
+            await asyncio.sleep(1.1)  # the budget is over, and what is large goes on
+            go_on_large.set()
+            async with asyncio.timeout(PATIENCE):
                 size = 0
                 while size < 199_900:
                     size += len(await callers[0].reader.read(1 << 16))
@@ -217,6 +218,34 @@
     run(test())
 
 
+@pytest.mark.parametrize("large", [False, True])
+def test_an_answer_that_never_ends_is_ended_visibly_when_its_caller_s_time_is_over(large: bool) -> None:
+    """Of a small answer the last byte is timed, so its deadline is its end; a large one may pause for 2 s."""
+
+    async def test() -> None:
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            size = 100_000 if large else 1000
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"%x\r\n%b\r\n" % (size, b"a" * size))
+            await reader.read()
+
+        async with before(act) as (node, _), asyncio.timeout(PATIENCE):
+            caller = await node.caller()
+            began = asyncio.get_running_loop().time()
+            caller.writer.write(ask("canje", "b" * 16, "Content-Length: 0", budget="1000m"))
+            assert b" 200 " in await caller.reader.readuntil(b"\r\n\r\n")
+            rest = b""
+            with contextlib.suppress(ConnectionError):
+                while chunk := await caller.reader.read(1 << 16):
+                    rest += chunk
+            took = asyncio.get_running_loop().time() - began
+            assert b"aaa" in rest and not rest.endswith(b"0\r\n\r\n")
+            assert took < (3.5 if large else 1.5)
+            assert (await node.figures())["app.in_progress"] == 0
+
+    run(test())
+
+
 @pytest.mark.parametrize("way", ["length", "chunked", "close"])
 def test_an_answer_that_breaks_off_is_passed_on_as_visibly_not_whole(way: str) -> None:
     async def test() -> None:
