Use no backend connection again that has not rested, or on which bytes wait unread

Cause: a kept connection was used again at once. A faulty backend may send a second answer some milliseconds after the first, or half a line; what came after the next request had been written was taken for that request's answer, so a caller got the answer of another one. Bytes, or the backend's close, that waited unread on a resting connection spoilt the request written to it.

Change: a connection rests for 20 ms after an answer, and the kernel is asked for unread bytes before it is used. Where there may be no other (the bound on descriptors, a backend that let no further connection come up in the last 5 s) it is used without the rest.

The test that kept connections are used again called five times at once; it now waits out the rest between the calls and still wants one connection.

--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import logging
+import math
 import time
+from bisect import bisect_right
+from operator import attrgetter
 from typing import Any, cast
 
 import httptools
@@ -14,13 +17,17 @@
 from granitepoint.net.config import Address
 from granitepoint.net.discovery import Listing
 from granitepoint.net.exchange import Exchange
+from granitepoint.net.sockets import has_unread
 
 log = logging.getLogger(__name__)
 
 MOST_HEAD = 32 * 1024  # bytes of an answer's headers
 IDLE_SHARE = 0.9  # of the settings' idle time after which this side closes first
 SWEEP = 1.0  # s between looks for idle connections
+REST = 0.02  # s for which a connection is not used after an answer: a faulty backend may send a second one
+REFUSED_FOR = 5.0  # s after a refused connection in which connections are used without a rest
 FLUSH = 0.05  # s after its head for which an answer of unknown length is held, so that it may be tried again
+IDLE_SINCE = attrgetter("idle_since")
 CHUNKED_BEGUN = -1  # stands for the length of an answer that tells none
 
 
@@ -210,6 +217,14 @@
                 self.transport.write(b"0\r\n\r\n")
             exchange.went_out()
 
+    @property
+    def silent(self) -> bool:
+        """Whether it is up and nothing waits to be read: neither bytes that nobody asked for, which would be
+        taken for the next answer, nor the backend's close."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return not has_unread(self.transport.get_extra_info("socket").fileno())
+
     def hold(self, on: bool) -> None:
         """The caller takes nothing, so nothing more is read."""
         if self.transport is not None and not self.transport.is_closing():
@@ -237,27 +252,36 @@
 class Upstream:
     """One backend as discovery last listed it, with its connections."""
 
-    __slots__ = ("address", "connections", "heard_at", "idle", "owner", "started_at", "state")
+    __slots__ = ("address", "connections", "heard_at", "idle", "owner", "refused_at", "started_at", "state")
 
     def __init__(self, owner: Upstreams, address: Address, started_at: float, state: ServerState) -> None:
         self.owner, self.address, self.started_at, self.state = owner, address, started_at, state
         self.connections: set[Connection] = set()
         self.heard_at = 0.0  # when it last sent anything
+        self.refused_at = -math.inf  # when a connection to it last did not come up
         self.idle: list[Connection] = []
 
+    @property
+    def refuses(self) -> bool:
+        """Whether it has lately let no further connection come up."""
+        return time.monotonic() < self.refused_at + REFUSED_FOR
+
     @property
     def serving(self) -> bool:
         return self.state is ServerState.SERVING
 
-    def take_idle(self) -> Connection | None:
-        """The connection used last: the others grow old and are closed."""
-        oldest = time.monotonic() - self.owner.idle_for
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
-                if connection.idle_since > oldest:
-                    return connection
-                connection.abandon()
+    def take_idle(self, rested: bool = True) -> Connection | None:
+        """The connection used last, of those that have `rested`: the others grow old and are closed."""
+        now = time.monotonic()
+        latest = now - REST if rested else now
+        place = bisect_right(self.idle, latest, key=IDLE_SINCE)  # they were put there one after another
+        while place:
+            place -= 1
+            connection = self.idle[place]
+            if connection.idle_since > now - self.owner.idle_for and connection.silent:
+                del self.idle[place]
+                return connection
+            connection.abandon()  # and is no longer at that place
         return None
 
     def keep(self, connection: Connection) -> None:
@@ -337,6 +361,8 @@
     def start(self, exchange: Exchange) -> None:
         upstream = exchange.upstream
         connection = upstream.take_idle()
+        if connection is None and (self.open >= self.most_open or upstream.refuses):
+            connection = upstream.take_idle(rested=False)  # there will be no other
         if connection is not None:
             exchange.run_on(connection)
         elif self.open >= self.most_open and not self._spare_one():
@@ -359,6 +385,7 @@
             upstream.connections.add(connection)
             exchange.run_on(connection)
         except (OSError, TimeoutError):
+            upstream.refused_at = time.monotonic()
             connection.abandon()
             exchange.end(Status.CONNECT_FAILED)
         except Exception:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -33,7 +33,7 @@
 from granitepoint.net.config import address
 from granitepoint.net.discovery import read_listing
 from granitepoint.net.exchange import Exchange
-from granitepoint.net.upstream import Upstreams
+from granitepoint.net.upstream import REST, Upstreams
 
 
 async def next_call(backend: Backend) -> Seen:
@@ -72,6 +72,7 @@
             caller = await node.caller()
             for number in range(5):
                 assert (await caller.call("canje", f"{number:016x}")).code == 200
+                await asyncio.sleep(2 * REST)  # none is used right after an answer
             numbers = {(await next_call(backend)).connection for _ in range(5)}
         assert len(numbers) == 1
 
