--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
 from pathlib import Path
@@ -139,3 +140,35 @@
             await process.wait()
 
     run(test())
+
+
+def test_a_crowd_of_idle_clients_leaves_descriptors_for_discovery_and_backends() -> None:
+    """They come while discovery is down and stay; what it tells at its return is followed all the same."""
+
+    async def test() -> None:
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        one, two = Backend(), await Backend().start()
+        down = Discovery()
+        down.address = address  # nobody listens there
+        async with proxy({"s-1": one}, down, sockets=64) as node, asyncio.timeout(PATIENCE):
+            crowd = [await node.caller() for _ in range(200)]
+            discovery = Discovery()
+            discovery.server = await asyncio.start_server(discovery._connection, host, int(port))
+            began = asyncio.get_running_loop().time()
+            discovery.put(2, endpoint("s-1", one.address, "Terminating"), endpoint("s-2", two.address))
+            while not (await discovery.asked.get()).startswith("/v1/servers?from=2"):
+                pass
+            assert asyncio.get_running_loop().time() - began < TOLD_WITHIN
+            number = 0
+            while not two.count:  # among a crowd a caller may be refused at first
+                number += 1
+                with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                    await (await node.caller()).call("stock", f"{number:016x}")
+            assert one.count == 0
+            for caller in crowd:
+                caller.writer.close()
+            discovery.server.close()
+        await two.stop()
+
+    run(test())
