--- a/benchmarks/regress.py
+++ b/benchmarks/regress.py
@@ -150,8 +150,13 @@
 def main(arguments: Sequence[str]) -> int:
     parser = argparse.ArgumentParser(prog="regress.sh", description=__doc__)
     parser.add_argument("--why", metavar="TEXT", help="a sentence under 120 characters that names the change")
-    parser.add_argument("--only", metavar="RUN", action="append", choices=[run.name for run in RUNS],
-                        help="this run alone (again for more): " + ", ".join(run.name for run in RUNS))
+    parser.add_argument(
+        "--only",
+        metavar="RUN",
+        action="append",
+        choices=[run.name for run in RUNS],
+        help="this run alone (again for more): " + ", ".join(run.name for run in RUNS),
+    )
     parser.add_argument("--dry-run", action="store_true", help="play nothing: tell what is missing")
     parser.add_argument("--json", action="store_true", help="print one object")
     asked = parser.parse_args(arguments)
--- a/granitepoint/apps/sidecar.py
+++ b/granitepoint/apps/sidecar.py
@@ -34,9 +34,7 @@
 def sidecar(app: App, landscape: Landscape) -> Description:
     """Routes and pools of one application's proxy, whatever order the files were read in."""
     called = [other for other in landscape.apps if other.name in app.calls]
-    routes = sorted(
-        (effective(route, app, landscape) for other in called for route in other.routes), key=str
-    )
+    routes = sorted((effective(route, app, landscape) for other in called for route in other.routes), key=str)
     known = landscape.known_pools
     wanted: dict[str, Pool] = {}
     waiting = [name for route in routes for name in _pools(route)]
--- a/granitepoint/control/duties/rollout.py
+++ b/granitepoint/control/duties/rollout.py
@@ -208,8 +208,18 @@
 
 
 def evidence_of(told: Weighed) -> Evidence:
-    return Evidence(told.wagers, told.peaks, told.base, told.usual, told.pool, told.requests, told.windows,
-                    told.apart, told.past, told.lately)
+    return Evidence(
+        told.wagers,
+        told.peaks,
+        told.base,
+        told.usual,
+        told.pool,
+        told.requests,
+        told.windows,
+        told.apart,
+        told.past,
+        told.lately,
+    )
 
 
 def weighed_of(record: Rollout, evidence: Evidence, baked: float) -> Weighed:
--- a/granitepoint/control/policy.py
+++ b/granitepoint/control/policy.py
@@ -61,9 +61,7 @@
     return mine, record.digest if mine != record.digest else ""
 
 
-def word(
-    force: KeyValue | None, change: KeyValue | None, name: str
-) -> tuple[Force, Open | None, InForce]:
+def word(force: KeyValue | None, change: KeyValue | None, name: str) -> tuple[Force, Open | None, InForce]:
     """The store's records as the tables of this member want them; raises RecordError."""
     told = decode(force.value, InForce) if force is not None else InForce(epoch=0, digest="")
     asked = decode(change.value, Change) if change is not None else None
--- a/granitepoint/control/start.py
+++ b/granitepoint/control/start.py
@@ -123,7 +123,10 @@
 
             works = (*works, Conduct)
     agent = Agent(
-        options, member, works, lambda: figures(config.name, ledger, backends, routes, timing),
+        options,
+        member,
+        works,
+        lambda: figures(config.name, ledger, backends, routes, timing),
         carrier=carried,
     )
     agent.start()
--- a/granitepoint/coordination/duty.py
+++ b/granitepoint/coordination/duty.py
@@ -121,5 +121,3 @@
 def fenced(key: bytes, token: int, *effects: Operation, compares: tuple[Compare, ...] = ()) -> Txn:
     """Effects on the store that take place only while the token holds, and what else is compared."""
     return Txn((Compare(key, Target.CREATE, "=", token), *compares), effects, (Get(key),))
-
-
--- a/granitepoint/coordination/verdict.py
+++ b/granitepoint/coordination/verdict.py
@@ -200,9 +200,7 @@
     return found
 
 
-def weighed(
-    evidence: Evidence, window: Mapping[str, Sample], new: Iterable[str], limits: Limits
-) -> Evidence:
+def weighed(evidence: Evidence, window: Mapping[str, Sample], new: Iterable[str], limits: Limits) -> Evidence:
     """One more window, of the members that were there all through it."""
     stage = [window[name] for name in sorted(new) if name in window]
     names = sorted(set(new) & window.keys())
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -108,7 +108,16 @@
 # -- obligations -----------------------------------------------------------------------------------------
 class Attempt:
     __slots__ = (
-        "call", "counted", "idle", "late", "load", "number", "opened", "rescued", "sent_at", "server",
+        "call",
+        "counted",
+        "idle",
+        "late",
+        "load",
+        "number",
+        "opened",
+        "rescued",
+        "sent_at",
+        "server",
         "status",
     )
 
@@ -1001,8 +1010,10 @@
             own_fault = server.errors > servers.errors.value + 0.1
             if not own_fault and (status == Status.FULL or servers.crowded(server, now)):
                 admission.bad()
-        elif not attempt.late and attempt.counted and (
-            status == Status.TIMEOUT or (ok and servers.crowded(server, now))
+        elif (
+            not attempt.late
+            and attempt.counted
+            and (status == Status.TIMEOUT or (ok and servers.crowded(server, now)))
         ):
             admission.bad()
         # capacity: calls held against latency in units of the class's mean
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -53,9 +53,7 @@
         "streaming", "timer",
     )  # fmt: skip
 
-    def __init__(
-        self, driver: Driver, number: int, request: Request, reply: Reply, deadline: float
-    ) -> None:
+    def __init__(self, driver: Driver, number: int, request: Request, reply: Reply, deadline: float) -> None:
         self.driver = driver
         self.number, self.request, self.reply, self.deadline = number, request, reply, deadline
         self.open = True
@@ -458,9 +456,7 @@
                     report = read_report(value)
                     if self.capture is not None:
                         self.capture.reported(server, value)
-        self._push(
-            api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report)
-        )
+        self._push(api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report))
 
     def _refuse(self, action: api.Refuse) -> None:
         call = self.calls.get(action.call)
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -253,9 +253,7 @@
             digest = digest_of(text)
             if digest in (self.digest, self.refused_digest):
                 return
-            table = await asyncio.to_thread(
-                prepared, text, self.settings.file, self.config.settings.classes
-            )
+            table = await asyncio.to_thread(prepared, text, self.settings.file, self.config.settings.classes)
         except (ConfigError, RoutingError) as fault:
             if not digest or digest != self.refused_digest:
                 log.error("routes: generation %d goes on: %s", self.now.number, fault)
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -126,8 +126,8 @@
     running: list[asyncio.Task[None]] = []
     admin = Admin(config.admin) if config.admin is not None else None
     replaces = listener.taken(*config.listen)
-    driver: Driver | Pools = Driver(config, capture) if features.routes is None else pools(
-        features.routes, config, capture
+    driver: Driver | Pools = (
+        Driver(config, capture) if features.routes is None else pools(features.routes, config, capture)
     )
     loop.add_signal_handler(signal.SIGHUP, reconfigure, driver, running)
     life, ledger = Lifecycle(), driver.desk.ledger
--- a/granitepoint/rig/explore/duties.py
+++ b/granitepoint/rig/explore/duties.py
@@ -181,8 +181,9 @@
         if member.lease.live(0.0) and idle("read"):
             yield f"{who} reads", self._send(state, number, Request("read"))
         if member.lease.id and not member.lease.live(0.0) and wanted("expire"):
-            yield f"{who} finds its lease expired", self._on(
-                self._with(state, number, lease=Lease()), number, Event.EXPIRED
+            yield (
+                f"{who} finds its lease expired",
+                self._on(self._with(state, number, lease=Lease()), number, Event.EXPIRED),
             )
         awaited = AWAITED.get(member.duty.phase)
         if awaited is not None and (not kinds or ("time out" in kinds and not _waits(member, awaited))):
--- a/granitepoint/rig/explore/policies.py
+++ b/granitepoint/rig/explore/policies.py
@@ -138,8 +138,9 @@
         if proxy.voting is not None and proxy.registered:
             yield f"the vote of {who} arrives", put(vote=proxy.voting, voting=None)
         if state.crashes:
-            yield f"{who} dies", replace(
-                put(up=False, registered=False, vote=None, voting=None), crashes=state.crashes - 1
+            yield (
+                f"{who} dies",
+                replace(put(up=False, registered=False, vote=None, voting=None), crashes=state.crashes - 1),
             )
         if proxy.registered and state.cuts:
             yield f"{who} is given up", replace(put(registered=False, vote=None), cuts=state.cuts - 1)
@@ -165,9 +166,7 @@
         votes = {self.name(state, n): proxy.vote for n, proxy in enumerate(state.proxies)
                  if proxy.vote is not None}  # fmt: skip
         unreached = [] if self.refuse else [f"m{n}" for n, p in enumerate(state.proxies) if not p.registered]
-        found = self.verdict(
-            change, state.word.force, state.proposed_with, registered, votes, (), unreached
-        )
+        found = self.verdict(change, state.word.force, state.proposed_with, registered, votes, (), unreached)
         lost = set(state.proposed_with) - set(registered)
         wrong = f"decided although {sorted(lost)} were lost" if lost and found.outcome is Outcome.YES else ""
         return replace(state, looked=found, looked_at=change.id, wrong=wrong or state.wrong)
--- a/granitepoint/rig/measures/losses.py
+++ b/granitepoint/rig/measures/losses.py
@@ -180,7 +180,13 @@
     """Members before one stand-in store; `async with` ends all of it."""
 
     def __init__(
-        self, kind: str, endpoints: Sequence[str], members: int, ttl: int, seed: int, away: float = 0.0,
+        self,
+        kind: str,
+        endpoints: Sequence[str],
+        members: int,
+        ttl: int,
+        seed: int,
+        away: float = 0.0,
         unfenced: bool = False,
     ) -> None:
         self.kind, self.endpoints, self.ttl, self.away = kind, tuple(endpoints), ttl, away
--- a/granitepoint/rig/measures/replacements.py
+++ b/granitepoint/rig/measures/replacements.py
@@ -30,7 +30,11 @@
 
 @contextlib.asynccontextmanager
 async def supervised(
-    count: int, folder: Path, features: str, versions: dict[str, str], version: str,
+    count: int,
+    folder: Path,
+    features: str,
+    versions: dict[str, str],
+    version: str,
     troubles: int | None = None,
 ) -> AsyncIterator[list[Supervised]]:
     """Proxies before trivial nodes, each under a supervisor; ended by force. `troubles`: of the nodes."""
--- a/granitepoint/rig/measures/scale.py
+++ b/granitepoint/rig/measures/scale.py
@@ -240,7 +240,10 @@
 
 @contextlib.asynccontextmanager
 async def proxies(
-    count: int, folder: Path, features: str | Sequence[str], harms: Sequence[str] = ("",),
+    count: int,
+    folder: Path,
+    features: str | Sequence[str],
+    harms: Sequence[str] = ("",),
     troubles: int | None = None,
 ) -> AsyncIterator[list[Proxy]]:
     """Real ones before trivial nodes, with one settings file or one each; ended by force, all at once.
--- a/granitepoint/rig/nodes/fleet.py
+++ b/granitepoint/rig/nodes/fleet.py
@@ -155,9 +155,7 @@
         weight = node.kind.cores * node.kind.speed
         link = self.links.get(node.name)
         address = f"127.0.0.1:{node.port}" if link is None else link.address
-        return Endpoint(
-            node.name, address, node.zone, node.kind.name, 0, status, weight, node.since_ms
-        )
+        return Endpoint(node.name, address, node.zone, node.kind.name, 0, status, weight, node.since_ms)
 
     def _announce(self, node: Node, status: str, delay: tuple[float, float]) -> None:
         self.discoveries[node.tier].change(self.draws.uniform(*delay), self._endpoint(node, status))
--- a/granitepoint/rig/simulate/judge.py
+++ b/granitepoint/rig/simulate/judge.py
@@ -174,4 +174,3 @@
                 state = "serves" if process.gate.open else "does not serve"
                 missing.append(f"{process.id} {state} by epoch {process.epoch} of {newest}, {process.word!r}")
         return missing
-
--- a/granitepoint/rig/simulate/loop.py
+++ b/granitepoint/rig/simulate/loop.py
@@ -76,9 +76,7 @@
 
         return run, handle
 
-    def _later(
-        self, name: str, handle: asyncio.Handle, run: Callable[[], None], context: Context
-    ) -> None:
+    def _later(self, name: str, handle: asyncio.Handle, run: Callable[[], None], context: Context) -> None:
         queue = self.waiting.setdefault(name, deque())
         queue.append((handle, run, context))
         if len(queue) == 1 and self.still[name] < math.inf:
--- a/granitepoint/rig/simulate/wire.py
+++ b/granitepoint/rig/simulate/wire.py
@@ -203,4 +203,3 @@
                         raise WatchLost("it fell silent") from None
         finally:
             machine.watches.pop(bell, None)
-
--- a/granitepoint/rig/simulate/world.py
+++ b/granitepoint/rig/simulate/world.py
@@ -220,9 +220,7 @@
             process.task.cancel()
 
 
-def lived(
-    seed: int, members: int, when_cut_off: str, life: Callable[[World], Awaitable[None]]
-) -> World:
+def lived(seed: int, members: int, when_cut_off: str, life: Callable[[World], Awaitable[None]]) -> World:
     """A world on a loop of its own, from the begin of this life to its end."""
     logging.disable(logging.CRITICAL)
     try:
--- a/granitepoint/routing/cells.py
+++ b/granitepoint/routing/cells.py
@@ -281,9 +281,11 @@
                 part += [(entry, True) for entry in paths.exact.get(path.sample, ())]
             if paths.regexes:
                 text = path.sample
-                below = paths.below(text[: text.rfind("/") + 1]) if path.open else [
-                    entry for _, _, entry in paths.near(text)
-                ]
+                below = (
+                    paths.below(text[: text.rfind("/") + 1])
+                    if path.open
+                    else [entry for _, _, entry in paths.near(text)]
+                )
                 for entry in below:
                     truth = path_truth(entry.match.path, path)
                     if truth is not False:
--- a/granitepoint/routing/checks.py
+++ b/granitepoint/routing/checks.py
@@ -33,9 +33,7 @@
             what = f"routes {one.route} and {other.route} can match the same request with equal precedence"
             hint = "make one of them more specific"
             place, before = sorted((other.match.place, one.match.place), reverse=True)
-            found.setdefault(
-                (str(one.route), str(other.route)), Finding("R101", place, what, before, hint)
-            )
+            found.setdefault((str(one.route), str(other.route)), Finding("R101", place, what, before, hint))
     return list(found.values())
 
 
--- a/granitepoint/routing/pools.py
+++ b/granitepoint/routing/pools.py
@@ -48,9 +48,7 @@
         self.vanished: dict[str, float] = {}  # since when
         self.spilled = False
 
-    def look(
-        self, endpoints: Iterable[Endpoint], now: float, ill: Set[str] = frozenset()
-    ) -> Members:
+    def look(self, endpoints: Iterable[Endpoint], now: float, ill: Set[str] = frozenset()) -> Members:
         """`ill` are members that the pool's own module has taken out of use: listed, and not usable."""
         chosen = [one for one in endpoints if one.status != "Gone" and selects(self.pool.selector, one)]
         if not self.pool.local:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -320,9 +320,14 @@
 
 @contextlib.asynccontextmanager
 async def proxy(
-    backends: dict[str, Backend], discovery: Discovery | None = None, features: str = "",
-    greeting: bytes = b"", listen: str = "", name: str = "n0",
-    program: tuple[str, ...] = ("granitepoint",), **changes: Any,
+    backends: dict[str, Backend],
+    discovery: Discovery | None = None,
+    features: str = "",
+    greeting: bytes = b"",
+    listen: str = "",
+    name: str = "n0",
+    program: tuple[str, ...] = ("granitepoint",),
+    **changes: Any,
 ) -> AsyncIterator[Proxy]:
     """A proxy before these backends, ready; ended by force if the test has not ended it. `features` is the
     text of its settings file, `greeting` what a connection begins with there. With `listen` it is one more
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -264,9 +264,7 @@
     assert all(len(line.split(" ")) == 3 for line in out)
 
 
-def test_a_changed_list_or_policy_prints_differences(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_changed_list_or_policy_prints_differences(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     records = played()
     path = write(tmp_path / "c.jsonl", records)
     drained = json.loads(json.dumps(records))
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -84,9 +84,7 @@
         b"gladegw.request.ms:412|ms|#class:book-slot,tenant:own-app,code:200\n"
     )
     told = line.timer("request", 3120, line.tags(tags)).decode()
-    assert re.fullmatch(
-        r"gladegw_request,class=book-slot,tenant=own-app,code=200 ms=3120i 1\d{18}\n", told
-    )
+    assert re.fullmatch(r"gladegw_request,class=book-slot,tenant=own-app,code=200 ms=3120i 1\d{18}\n", told)
     again = line.timer("request", 3120, line.tags(tags)).decode()
     assert int(again.split()[-1]) > int(told.split()[-1])  # else the two would be one point
     assert line.count("figures.dropped", 3, "").startswith(b"gladegw_figures_dropped count=3i ")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -183,7 +183,8 @@
 def test_the_agents_descriptors_are_reserved() -> None:
     async def test() -> None:
         async with (
-            store() as at, proxy({"s-1": Backend()}, features="figures {\n}\n", name="p0") as alone,
+            store() as at,
+            proxy({"s-1": Backend()}, features="figures {\n}\n", name="p0") as alone,
             proxy({"s-1": Backend()}, features=at.block(), name="p1") as node,
         ):
             await at.duties(held_by("p1"))
--- a/tests/test_policy_sockets.py
+++ b/tests/test_policy_sockets.py
@@ -79,9 +79,7 @@
 
 
 @contextlib.asynccontextmanager
-async def site(
-    folder: Path, cut_off: str = "serve", members: int = 3, ttl: int = TTL
-) -> AsyncIterator[Site]:
+async def site(folder: Path, cut_off: str = "serve", members: int = 3, ttl: int = TTL) -> AsyncIterator[Site]:
     async with store(members) as at, contextlib.AsyncExitStack() as stack:
         yield Site(at, folder, stack, cut_off, ttl)
 
--- a/tests/test_routes_sockets.py
+++ b/tests/test_routes_sockets.py
@@ -415,9 +415,7 @@
             for _ in range(count):
                 id = f"{len(heard):x}".encode()
                 headers = [(b"x-call-id", id), (b"x-budget", b"600m")]
-                request = read_head(
-                    b"GET", b"/stock", headers, time.monotonic(), pools.effects, pools.route
-                )
+                request = read_head(b"GET", b"/stock", headers, time.monotonic(), pools.effects, pools.route)
                 assert request.routed is not None and request.routed.route.name == f"to-{side}"
                 heard.append(Heard())
                 if late:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -539,7 +539,9 @@
             caller.writer.write(b"GET http://service.internal/healthz?x HTTP/1.1\r\nHost: x\r\n\r\n")
             code, _, body = await read_answer(caller.reader)
             assert (code, body) == (200, b"ok\n")
-            caller.writer.write(ask("stock", "b" * 16).replace(b"/stock", b"http://service.internal/stock?q=1"))
+            caller.writer.write(
+                ask("stock", "b" * 16).replace(b"/stock", b"http://service.internal/stock?q=1")
+            )
             assert (await read_answer(caller.reader))[0] == 200
 
     run(test())
@@ -592,8 +594,14 @@
         async with before(echo) as (node, raw):
             caller = await node.caller()
             caller.writer.write(
-                ask("canje", "a" * 16, "Connection: X-Hop, X-Call-Id", "X-Hop: 1", "X-Far: 2",
-                    "Content-Length: 0")
+                ask(
+                    "canje",
+                    "a" * 16,
+                    "Connection: X-Hop, X-Call-Id",
+                    "X-Hop: 1",
+                    "X-Far: 2",
+                    "Content-Length: 0",
+                )
             )
             assert (await read_answer(caller.reader))[0] == 200
             assert b"x-hop" not in raw.heads[0] and b"x-far: 2" in raw.heads[0]
