--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -1262,10 +1262,14 @@
             server.out += 1
             server.since += 1
             if servers.ramp(server, now) < 1:
-                server.tokens -= max(1.0, call.cls.mean.value / servers.unit)  # the budget is in mean calls
+                server.tokens -= self.mean_calls(call)
             self.busy += 1
             self.sends += 1
 
+    def mean_calls(self, call: Call) -> float:
+        """How many calls of mean work it is likely to be; a cold server's budget is counted in these."""
+        return call.cls.mean.value / self.servers.unit if self.admission.latency.count else 1.0
+
     def shrink(self) -> None:
         """A held call's wait is about (place+1)*procQ/W and must fit what is left of its usefulness."""
         if not self.queue:
--- a/granitepoint/net/client.py
+++ b/granitepoint/net/client.py
@@ -285,7 +285,7 @@
     def _waited_unread(self) -> float:
         """How long the last bytes that came were in the kernel (seconds): the peer's time runs since then,
         also while this process stood still or the connection waited to be accepted."""
-        if self.transport is None:
+        if self.transport is None or self.transport.is_closing():
             return 0.0
         return min(time_since_data(self.transport.get_extra_info("socket")), MOST_UNREAD)
 
@@ -418,7 +418,7 @@
     def hung_up(self) -> bool:
         """Whether the caller has closed its connection. The kernel is asked: where the loop reads nothing, or
         has not come round to it, the close would be learned too late."""
-        if self.transport is None:
+        if self.transport is None or self.transport.is_closing():
             return True
         if not peer_has_closed(self.transport.get_extra_info("socket").fileno()):
             return False
