--- a/granitepoint/net/client.py
+++ b/granitepoint/net/client.py
@@ -17,6 +17,7 @@
 from granitepoint.net.request import BadRequest, Request, class_of, origin_form, read_head
 from granitepoint.net.sockets import all_acknowledged, has_unread, peer_has_closed, time_since_data
 from granitepoint.net.tls import subject
+from granitepoint.net.turn import Turn, response_head
 from granitepoint.net.upload import Upload
 
 if TYPE_CHECKING:
@@ -28,33 +29,11 @@
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
 MOST_RAW = 2 * (MOST_HEAD + WHOLE)  # bytes of what is held as it comes; the parser holds what is unfinished
 LINGER = 1.0  # s that a peer has to close after its last answer
-MOST_UNREAD = 10.0  # s that bytes may have waited in the kernel; what is longer is not believed
+MOST_UNREAD = 10.0  # s that bytes may have waited unread; what is longer is not believed
 LINGER_LOOK = 0.01  # s between looks whether it has
-REASONS = {
-    200: b"OK", 301: b"Moved Permanently", 302: b"Found", 303: b"See Other", 307: b"Temporary Redirect",
-    308: b"Permanent Redirect", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found", 409: b"Conflict",
-    413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
-    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
-}  # fmt: skip
 NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
 
 
-class Turn:
-    """One message as it waits for its answer. `what`: None asks whether the proxy is ready."""
-
-    __slots__ = ("asked", "bodyless", "keep_alive", "last", "old", "taken", "upload", "what")
-
-    def __init__(self, what: Request | BadRequest | None) -> None:
-        self.what = what
-        self.upload: Upload | None = None  # its body is passed on while it comes
-        self.keep_alive = False
-        self.last = False  # the connection is to end with this answer, if none is owed behind it
-        self.bodyless = False  # HEAD: its answer has no body
-        self.old = False  # HTTP/1.0
-        self.taken = False  # it has come whole, and is counted
-        self.asked: Asked | None = None
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """One caller's connection: requests one after another, each with exactly one answer."""
 
@@ -370,21 +349,10 @@
     def _head(self, turn: Turn, code: int, headers: Any, length: int | None) -> bytes:
         if turn is self.coming or ((turn.last or self.server.last) and not self._owes_more()):
             turn.keep_alive = False
-        parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASONS.get(code, b"Status"))]
-        parts += [name + b": " + value + b"\r\n" for name, value in headers]
         self.chunked = length is None and not turn.old
-        if length is not None:
-            parts.append(b"content-length: %d\r\n" % length)
-        elif self.chunked:
-            parts.append(b"transfer-encoding: chunked\r\n")
-        else:
+        if length is None and not self.chunked:
             turn.keep_alive = False
-        if not turn.keep_alive:
-            parts.append(b"connection: close\r\n")
-        elif turn.old:
-            parts.append(b"connection: keep-alive\r\n")
-        parts.append(b"\r\n")
-        return b"".join(parts)
+        return response_head(turn, code, headers, length)
 
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         """The one answer to the open request, whole."""
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -9,28 +9,23 @@
 import asyncio
 import logging
 import math
-import os
 import time
 import zlib
 from collections.abc import Callable
-from collections.abc import Set as AbstractSet
 from typing import Any, Protocol
 
 from granitepoint import interface as api
-from granitepoint.limits.descriptors import shares
-from granitepoint.limits.memory import piece
 from granitepoint.logic import Balancer
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError
+from granitepoint.net.desk import Desk, OpenCall
 from granitepoint.net.discovery import Discovery, Listing, read_listing
 from granitepoint.net.exchange import LATE, ONE_TURN, Exchange
 from granitepoint.net.hop import HOP_BY_HOP
 from granitepoint.net.peer import Reply
 from granitepoint.net.reports import read_report
 from granitepoint.net.request import Request
-from granitepoint.net.upstream import Upstreams
 from granitepoint.operators.calls import Backends
-from granitepoint.operators.ledger import Ledger
 
 log = logging.getLogger(__name__)
 
@@ -45,57 +40,6 @@
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 
 
-class OpenCall:
-    """A taken request that is owed its answer."""
-
-    __slots__ = (
-        "attempts", "deadline", "driver", "exchange", "number", "open", "ran", "reply", "request",
-        "streaming", "timer",
-    )  # fmt: skip
-
-    def __init__(self, driver: Driver, number: int, request: Request, reply: Reply, deadline: float) -> None:
-        self.driver = driver
-        self.number, self.request, self.reply, self.deadline = number, request, reply, deadline
-        self.open = True
-        self.attempts = 0
-        self.ran = False  # some attempt may have run
-        self.streaming = False  # some of its answer has gone out
-        self.exchange: Exchange | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-
-def held_descriptors() -> int:
-    """Those that this process has open now; 0 where the system does not tell."""
-    try:
-        return len(os.listdir("/proc/self/fd"))
-    except OSError:
-        return 0
-
-
-class Desk:
-    """What the pools of one proxy share: connections to backends, the names of open calls, their numbers."""
-
-    def __init__(self, config: Config) -> None:
-        settings = config.settings
-        self.shares = shares(config.sockets, held_descriptors(), config.admin is not None)
-        self.upstreams = Upstreams(settings.connect_timeout, settings.conn_idle, self.shares.upstreams)
-        self.ledger = Ledger(cls.name for cls in settings.classes)
-        self.scratch = memoryview(bytearray(piece(config.memory, self.shares.clients)))
-        self.upstreams.scratch = self.scratch
-        self.ids: set[bytes] = set()  # of the calls in the tables, and of attempts still out
-        self.calls_taken = 0
-
-    def listed(self) -> list[tuple[int, bool]]:
-        """Backends by number, and whether each is sent to; asked from the agent's thread."""
-        return [(server, upstream.serving) for server, upstream in list(self.upstreams.by_id.items())]
-
-    def backends(self, avoided: AbstractSet[int]) -> Backends:
-        """For operators; asked from their thread."""
-        listed = list(self.upstreams.by_id.items())
-        skipped = sum(1 for server, upstream in listed if not upstream.serving or server in avoided)
-        return Backends(len(listed), skipped)
-
-
 class Feed(Protocol):
     """Where a pool's lists come from, when not from a discovery of its own."""
 
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -17,8 +17,9 @@
 from granitepoint import interface as api
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError
+from granitepoint.net.desk import Desk, OpenCall
 from granitepoint.net.discovery import Discovery, Listed, Listing
-from granitepoint.net.driver import Desk, Driver, OpenCall
+from granitepoint.net.driver import Driver
 from granitepoint.net.edits import edit, fixed, redirected, rewritten
 from granitepoint.net.features import RoutesSettings
 from granitepoint.net.peer import Reply, Source
--- a/tests/test_routes_sockets.py
+++ b/tests/test_routes_sockets.py
@@ -20,7 +20,7 @@
 from netkit import PATIENCE, Backend, Discovery, Proxy, Seen, config, endpoint, listing, proxy, response, run
 
 from granitepoint.net.config import load
-from granitepoint.net.driver import OpenCall
+from granitepoint.net.desk import OpenCall
 from granitepoint.net.features import RoutesSettings
 from granitepoint.net.request import read_head
 from granitepoint.net.routes import Pools, Unheard
