Make two tests of rested connections independent of how busy the machine is

One sent its second request whenever the machine came to it, often after the rest that it tests; the other one's connection was held by a probe.

Change: the first plays two requests on the connections' own side and sets the moment of the answer; the second runs without probes. Both want what they did.

--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -68,7 +68,11 @@
 def test_connections_are_kept_and_the_last_used_is_used_again() -> None:
     async def test() -> None:
         backend = Backend()
-        async with proxy({"s-1": backend}) as node:
+        limits = {
+            **SETTINGS["policy_limits"],
+            "probes": False,
+        }  # a probe would hold the connection for a while
+        async with proxy({"s-1": backend}, policy_limits=limits) as node:
             caller = await node.caller()
             for number in range(5):
                 assert (await caller.call("canje", f"{number:016x}")).code == 200
--- a/tests/test_upstream_reuse.py
+++ b/tests/test_upstream_reuse.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import os
+import time
 from collections.abc import Callable
 
 import pytest
-from netkit import PATIENCE, Backend, Seen, endpoint, listing, proxy, response, run, serve_ok
+from netkit import PATIENCE, Backend, Seen, endpoint, listing, response, run, serve_ok
 
 from granitepoint.interface import Status
 from granitepoint.net.discovery import read_listing
@@ -17,6 +18,35 @@
 REQUEST = b"GET /stock HTTP/1.1\r\nX-Call-Id: %d\r\n\r\n"
 
 
+class TwoRequests:
+    """One backend, and two requests to it, one after another, with something between them."""
+
+    def __init__(self, backend: Backend, most_open: int = 10) -> None:
+        self.backend = backend
+        self.upstreams = Upstreams(connect_timeout=PATIENCE, conn_idle=PATIENCE, most_open=most_open)
+        self.bodies: list[bytes] = []
+        self.connections: list[int] = []
+
+    async def play(self, between: Callable[[Upstreams, Backend], None]) -> None:
+        await self.backend.start()
+        self.upstreams.apply(read_listing(listing(1, endpoint("s-1", self.backend.address))))
+        await self._send(0)
+        between(self.upstreams, self.backend)
+        await self._send(1)
+        await self.backend.stop()
+
+    async def _send(self, number: int) -> None:
+        (upstream,) = self.upstreams.by_id.values()
+        done: asyncio.Future[Exchange] = asyncio.get_running_loop().create_future()
+        message = REQUEST % number
+        self.upstreams.start(Exchange(upstream, lambda: message, PATIENCE, lambda: True, done.set_result))
+        async with asyncio.timeout(PATIENCE):
+            exchange = await done
+            assert exchange.status is Status.OK
+            self.bodies.append(exchange.body)
+            self.connections.append((await self.backend.calls.get()).connection)
+
+
 def test_a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request() -> None:
     """The backend answers once more when the next request has come, on the connection of the first."""
 
@@ -24,43 +54,18 @@
         first_writer: list[asyncio.StreamWriter] = []
 
         async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            if backend.count == 2:
+            if first_writer:
                 first_writer[0].write(response(200, b"done once more"))
             first_writer.append(writer)
             await serve_ok(seen, writer)
 
-        backend = Backend(behave)
-        async with proxy({"s-1": backend}) as node, asyncio.timeout(PATIENCE):
-            caller = await node.caller()
-            for number in range(5):
-                answer = await caller.call("stock", f"{number:016x}")
-                assert answer.body == b"done " + f"{number:016x}".encode()
+        played = TwoRequests(Backend(behave))
+        await played.play(just_answered)
+        assert played.bodies == [b"done 0", b"done 1"]
 
     run(test())
 
 
-async def used_connections(between: Callable[[Upstreams, Backend], None], most_open: int = 10) -> list[int]:
-    """The backend's connections that carry a first request, and, after `between`, a second one."""
-    backend = await Backend().start()
-    upstreams = Upstreams(connect_timeout=PATIENCE, conn_idle=PATIENCE, most_open=most_open)
-    upstreams.apply(read_listing(listing(1, endpoint("s-1", backend.address))))
-    (upstream,) = upstreams.by_id.values()
-    used = []
-    for number in range(2):
-        done: asyncio.Future[Exchange] = asyncio.get_running_loop().create_future()
-        message = REQUEST % number
-        upstreams.start(
-            Exchange(upstream, lambda sent=message: sent, PATIENCE, lambda: True, done.set_result)  # type: ignore[misc]
-        )
-        async with asyncio.timeout(PATIENCE):
-            assert (await done).status is Status.OK
-            used.append((await backend.calls.get()).connection)
-        if not number:
-            between(upstreams, backend)
-    await backend.stop()
-    return used
-
-
 def rest(upstreams: Upstreams, backend: Backend) -> None:
     for upstream in upstreams.by_id.values():
         for connection in upstream.idle:
@@ -74,20 +79,24 @@
 
 
 def refuse_another(upstreams: Upstreams, backend: Backend) -> None:
+    just_answered(upstreams, backend)
     for upstream in upstreams.by_id.values():
-        upstream.refused_at = asyncio.get_running_loop().time()
+        upstream.refused_at = time.monotonic()
 
 
-def nothing(upstreams: Upstreams, backend: Backend) -> None:
-    pass
+def just_answered(upstreams: Upstreams, backend: Backend) -> None:
+    """However busy this machine is."""
+    for upstream in upstreams.by_id.values():
+        for connection in upstream.idle:
+            connection.idle_since = time.monotonic()
 
 
 @pytest.mark.parametrize(
     ("between", "most_open", "used"),
     [
         (rest, 10, [1, 1]),
-        (nothing, 10, [1, 2]),  # it has just answered
-        (nothing, 1, [1, 1]),  # there may be no other
+        (just_answered, 10, [1, 2]),  # it has just answered
+        (just_answered, 1, [1, 1]),  # there may be no other
         (refuse_another, 10, [1, 1]),
         (send_half_a_line, 10, [1, 2]),
     ],
@@ -96,6 +105,8 @@
     between: Callable[[Upstreams, Backend], None], most_open: int, used: list[int]
 ) -> None:
     async def test() -> None:
-        assert await used_connections(between, most_open) == used
+        played = TwoRequests(Backend(), most_open)
+        await played.play(between)
+        assert played.connections == used
 
     run(test())
