Do not cut off an answer without a length that still comes when its deadline passes

Cause: the end of a stuck answer at its deadline (Driver._watch_stream) took an answer that tells no length for a small one until 64 KiB had come; a long one whose server gives it slowly had not got so far by then.

Change: such an answer ends at its deadline only where its server has paused for 1 s; a large one goes on as before while it pauses for no more than 2 s.

The new test fails without the change (seen).

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -35,7 +35,8 @@
 LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
 MOST_PROBES = 32  # at once
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
-STREAM_PAUSE = 2.0  # s that a backend may pause in a large answer whose deadline has passed
+LARGE_PAUSE = 2.0  # s that a backend may pause in a large answer whose deadline has passed
+UNKNOWN_PAUSE = 1.0  # s, in one that tells no length and has not become large
 STREAM_LOOK = 0.05  # s between looks whether it moves
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 
@@ -361,16 +362,18 @@
         return True
 
     def _watch_stream(self, call: OpenCall, exchange: Exchange) -> None:
-        """At its deadline an answer that is being passed on has to be whole, or to be a large one that still
-        moves: of that only the first bytes are timed. Else the end of the connection tells its caller."""
+        """At its deadline an answer that is being passed on has to be whole, or still on its way: only the
+        first bytes of a large one are timed, and one that tells no length may yet become large. Where nothing
+        has come for a while, the end of the connection tells its caller."""
         if call.timer is not None:
             call.timer.cancel()
         if not call.open or math.isinf(call.deadline):
             return
         now = time.monotonic()
         left = call.deadline - now
-        moves = exchange.held or now < exchange.moved_at + STREAM_PAUSE
-        if left <= 0 and not (exchange.large and moves):
+        pause = LARGE_PAUSE if exchange.large else UNKNOWN_PAUSE
+        moves = exchange.held or now < exchange.moved_at + pause
+        if left <= 0 and not moves:
             exchange.end(api.Status.TIMEOUT)
         else:
             call.timer = self.loop.call_later(max(left, STREAM_LOOK), self._watch_stream, call, exchange)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -218,6 +218,30 @@
     run(test())
 
 
+def test_an_answer_that_tells_no_length_and_still_comes_is_not_cut_off() -> None:
+    """At its deadline it is small; that it will be large shows only later."""
+
+    async def test() -> None:
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(20):
+                writer.write(b"3e8\r\n" + b"a" * 1000 + b"\r\n")
+                await asyncio.sleep(0.1)
+            writer.write(b"186a0\r\n" + b"a" * 100_000 + b"\r\n0\r\n\r\n")
+
+        async with before(act) as (node, _), asyncio.timeout(PATIENCE):
+            caller = await node.caller()
+            caller.writer.write(ask("canje", "b" * 16, "Content-Length: 0", budget="1000m"))
+            got = b""
+            while not got.endswith(b"\r\n0\r\n\r\n"):
+                chunk = await caller.reader.read(1 << 16)
+                assert chunk, "the answer was cut off"
+                got += chunk
+            assert got.count(b"a") >= 120_000
+
+    run(test())
+
+
 @pytest.mark.parametrize("large", [False, True])
 def test_an_answer_that_never_ends_is_ended_visibly_when_its_caller_s_time_is_over(large: bool) -> None:
     """Of a small answer the last byte is timed, so its deadline is its end; a large one may pause for 2 s."""
