Free at once only the places of callers that were refused for want of places

Cause: ended any connection after its last answer within a millisecond while places are wanted. Ruled out: the eviction of callers whose bytes wait unread (no better without).

Change: that pace holds for callers refused for want of places alone.

--- a/granitepoint/net/client.py
+++ b/granitepoint/net/client.py
@@ -58,6 +58,7 @@
         self.source: Source | None = None  # of the answer that is being passed on
         self.chunked = False  # that answer's length is not known
         self.closing = False
+        self.refused = False  # for want of places
         self.dropping = False  # the answer came before the end of its request, whose rest is not wanted
         self.changed_at = came  # when bytes last came or went
         self.full = False  # the peer does not read
@@ -324,7 +325,7 @@
                 self.answer(request.code, request.headers, f"{request}\n".encode())
             elif self.server.full:
                 # Never sent, so a refusal is harmless.
-                turn.last = True
+                turn.last = self.refused = True
                 self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
             else:
                 try:
@@ -449,7 +450,7 @@
         if transport.get_write_buffer_size():
             until = now + LINGER
         closed = peer_has_closed(transport.get_extra_info("socket").fileno())
-        wanted = self.server.crowded
+        wanted = self.refused and self.server.crowded
         if now >= until or closed or (wanted and self.delivered):
             transport.abort()
         else:
