Add a failing test: a fleet is not answered again after an outage of discovery

With it, what was missing in the logs: a line for each list taken (version, entries, bytes, times) and for each failed call its target, time, version and reason (a time-out had none); a failed call says whether discovery refused it.

--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -211,6 +211,7 @@
     kind: ListKind
     entries: list[ServerEntry] = field(default_factory=list)
     version: int = 0
+    refused: bool = False  # of a failed call: discovery refused it, so it is down or crowded
 
 
 @dataclass(slots=True)
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -28,6 +28,7 @@
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LIST_PATH = "/v1/servers"
 LARGEST = 8 << 20  # bytes of an answer
+REFUSALS = (429, 503)  # what discovery answers where it is down or has too many calls to answer in time
 
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 # Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
@@ -35,6 +36,10 @@
 WALL_OFFSET = time.time() - time.monotonic()
 
 
+class RefusedError(ValueError):
+    """Discovery answered that it does not answer this call."""
+
+
 @dataclass(slots=True)
 class Listed:
     """A backend as a list names it."""
@@ -179,13 +184,14 @@
         version: int | None,
         must_ask_within: float,
         on_list: Callable[[Listing], None],
-        on_failed: Callable[[], None],
+        on_failed: Callable[[bool], None],
     ) -> None:
         self.at, self.version = at, version  # None: no list of this address is known; 0 is a version too
         # A watch that discovery forgot looks like one with nothing to tell until its wait is over. So the
         # wait is what a forgotten watch costs: with a long one a whole fleet sends to servers long gone.
         self.hold = min(HOLD_SHARE * must_ask_within, MOST_HOLD)  # s
-        self.on_list, self.on_failed = on_list, on_failed
+        self.on_list = on_list
+        self.on_failed = on_failed  # told whether discovery refused the call
         self.heard = asyncio.Event()  # has a list come
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -240,16 +246,30 @@
             channel.close()
 
     async def _ask(self, channel: _Channel, target: str, timeout: float) -> bool:
+        asked_at = time.monotonic()
         try:
             code, body = await channel.get(self.at, target, timeout)
+            answered_at = time.monotonic()
+            if code in REFUSALS:
+                raise RefusedError(f"status {code}")
             if code != 200:
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
         except (OSError, TimeoutError, ValueError) as fault:
-            log.warning("discovery: %s", fault or type(fault).__name__)
-            self.on_failed()
+            log.warning(
+                "discovery: call failed: target=%s after_ms=%d version=%s reason=%s",
+                target, 1000 * (time.monotonic() - asked_at), self.version,
+                str(fault) or type(fault).__name__,
+            )  # fmt: skip
+            self.on_failed(isinstance(fault, RefusedError))
             return False
         self.version = listing.version
         self.heard.set()
         self.on_list(listing)
+        if listing.backends:
+            log.info(
+                "discovery: list taken: version=%d whole=%s entries=%d bytes=%d after_ms=%d took_ms=%d",
+                listing.version, listing.whole, len(listing.backends), len(body),
+                1000 * (answered_at - asked_at), 1000 * (time.monotonic() - answered_at),
+            )  # fmt: skip
         return True
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -178,8 +178,8 @@
         kind = api.ListKind.FULL if listing.whole else api.ListKind.INCREMENTAL
         self._push(self._server_list(listing, kind))
 
-    def list_failed(self) -> None:
-        self._push(api.ServerList(api.ListKind.FAILED))
+    def list_failed(self, refused: bool) -> None:
+        self._push(api.ServerList(api.ListKind.FAILED, refused=refused))
 
     def listed(self, entries: list[api.ServerEntry], version: int, kind: api.ListKind) -> None:
         """The members of this pool, where someone else asks discovery."""
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -313,10 +313,10 @@
         for one in self._every():
             self._tell(one, api.ListKind.FULL, always=True)
 
-    def _on_failed(self) -> None:
+    def _on_failed(self, refused: bool) -> None:
         self.watching = False
         for one in self._every():
-            one.driver.list_failed()
+            one.driver.list_failed(refused)
 
     def _every(self) -> list[Served]:
         found = {id(one): one for one in (*self.now.served.values(), *self.retired)}
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -14,8 +14,8 @@
 import uvloop
 
 from granitepoint.limits.descriptors import AGENT_OWN
+from granitepoint.net import discovery, listener
 from granitepoint.net import features as settings_file
-from granitepoint.net import listener
 from granitepoint.net.access import AccessLog
 from granitepoint.net.addresses import Addresses
 from granitepoint.net.admin import Admin
@@ -211,6 +211,7 @@
         if features:
             logs = Writer(to_descriptor(sys.stderr.fileno()), LOG_BYTES, "log")
             logging.basicConfig(handlers=[LogHandler(logs)], format=log_format)
+            logging.getLogger(discovery.__name__).setLevel(logging.INFO)  # a line for each list taken
         else:
             logging.basicConfig(stream=sys.stderr, format=log_format)
         asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(config, features))
--- /dev/null
+++ b/tests/test_watch_pacing.py
@@ -0,0 +1,93 @@
+"""How a fleet asks discovery again when it has been down or is crowded.
+
+Seen (report 83daec): with discovery back after an outage no proxy was answered for the rest of the day, and one sent to a
+server whose drain counted as known. How it came about: discovery answers calls in turn and refuses one that has waited 2 s.
+Each refused proxy asked again within a second, so more calls came than were answered, each waited longer than 2 s, and
+discovery's time went into calls that nobody waited for any more. What proved it: with longer pauses alone, all were
+answered within seconds of the same outage; watches that went on were never refused.
+"""
+
+from __future__ import annotations
+
+import heapq
+from itertools import count
+
+from helpers import settings
+
+from granitepoint import Balancer, ListKind, ServerList, SetTimer, Timer, Watch
+from granitepoint.interface import Event
+from granitepoint.logic import TICK_TOKEN
+
+PROXIES = 120
+BEGIN = 100.0  # s on the proxies' clock, at which all watches end
+MUST_ASK_WITHIN = 10.0  # s, of the settings
+PATIENCE = 2.0  # s that a call waits for its turn before discovery refuses it
+OUTAGE = 8.0  # s
+TOLD_WITHIN = 6.0  # s after which a change counts as told
+
+
+class CrowdedDiscovery:
+    """Answers first calls one after another, also those that it has refused meanwhile; a watch that goes on
+    costs it nothing. `capacity`: first calls that it can answer in the time in which each proxy has to ask."""
+
+    def __init__(self, capacity: float, down_until: float) -> None:
+        self.turn = MUST_ASK_WITHIN / (capacity * PROXIES)  # s
+        self.down_until = down_until
+        self.busy_until = down_until
+
+    def call(self, now: float) -> tuple[float, bool]:
+        """When the call ends, and whether with an answer."""
+        if now < self.down_until:
+            return now + PATIENCE, False
+        answered_at = self.busy_until = max(self.busy_until, now) + self.turn
+        if answered_at > now + PATIENCE:
+            return now + PATIENCE, False
+        return answered_at, True
+
+
+def answered_after(capacity: float, outage: float) -> list[float]:
+    """Seconds from discovery's return to each proxy's first answer, in order; all watches end as it goes down."""
+    back_at = BEGIN + outage
+    discovery = CrowdedDiscovery(capacity, back_at)
+    proxies = [
+        Balancer(
+            settings(ask_for_list=True, must_ask_within=MUST_ASK_WITHIN, balancers=PROXIES, me=n), seed=n
+        )
+        for n in range(PROXIES)
+    ]
+    order = count()
+    events: list[tuple[float, int, int, Event]] = []
+    answered: dict[int, float] = {}
+
+    def put(at: float, proxy: int, event: Event) -> None:
+        heapq.heappush(events, (at, next(order), proxy, event))
+
+    for number, proxy in enumerate(proxies):
+        asked_at = 0.0
+        while Watch(True) not in proxy.handle(asked_at, [ServerList(ListKind.SAVED), Timer(TICK_TOKEN)]):
+            asked_at += 0.1
+        proxy.handle(BEGIN - 1.0, [ServerList(ListKind.FULL)])
+        put(BEGIN, number, ServerList(ListKind.FAILED, refused=True))
+        put(BEGIN, number, Timer(TICK_TOKEN))
+    while events and len(answered) < PROXIES:
+        now, _, number, event = heapq.heappop(events)
+        if now > back_at + 60.0:
+            break
+        if isinstance(event, ServerList) and event.kind is ListKind.FULL:
+            answered[number] = now - back_at
+        for action in proxies[number].handle(now, [event]):
+            if isinstance(action, SetTimer):
+                put(now + action.delay, number, Timer(action.token))
+            elif action == Watch(True):
+                at, heard = discovery.call(now)
+                kind = ListKind.FULL if heard else ListKind.FAILED
+                put(at, number, ServerList(kind, refused=not heard))
+    return sorted(answered.values())
+
+
+def test_a_whole_fleet_is_answered_again_soon_after_an_outage() -> None:
+    for capacity in (1.3, 1.5, 1.9):
+        took = answered_after(capacity, OUTAGE)
+        assert len(took) == PROXIES, capacity
+        assert took[PROXIES // 2] < TOLD_WITHIN, capacity
+        assert took[-1] < 2 * TOLD_WITHIN, capacity
