Ask discovery again 3.5 to 6.4 s after a refused call began, not within a second

Discovery answers calls in turn and spends its time on refused ones too, so after an outage the proxies' own retries kept every call waiting longer than the 2 s after which it is refused; nobody learned of a drain in the 6 s after which it counts as known. Change: granitepoint/logic.py next_watch_at. The first failure of a watch is repeated at once as before, also whatever was not refused (resets, time-outs).

--- a/granitepoint/benchlink.py
+++ b/granitepoint/benchlink.py
@@ -441,7 +441,9 @@
             entries = self.lists[slot]
         if who in self.instances:
             version = _whole(fields, "stamp", 0)
-            self.pending.setdefault(who, []).append(api.ServerList(kind, entries, version))
+            # A failed call has waited too long, or discovery is down: both are what a refusal tells.
+            refused = kind is api.ListKind.FAILED
+            self.pending.setdefault(who, []).append(api.ServerList(kind, entries, version, refused))
 
     def flush(self, who: str) -> None:
         events = self.pending.pop(who)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -100,6 +100,10 @@
 ADVICE = 0.25  # procQ that a refused client is told to stay away
 WATCH_RETRY = 0.1  # s, doubled at each failure in a row: the pause before discovery is asked again
 WATCH_RETRY_MOST = 1.0  # s; with a call that hangs, still twice within the 6 s that a change may take
+# From the beginning of a refused call to the next one. Discovery answers calls in turn, and its time goes
+# into those that it has refused too: proxies that ask again at once keep it from answering anybody. The
+# longest still brings the news within the 6 s that a change may take and the grace of a drain.
+REFUSED_RETRY = (3.5, 6.4)  # s
 TICK_TOKEN, ASK_TOKEN = 1, 2
 HELD, CUT, LATE, SHORT, DISPLACED, TRIES = "held", "cut", "late", "queue", "displaced", "tries"  # verdicts
 MOST_LATENCIES = 8.0  # mean latencies that a failed attempt counts as at most
@@ -780,6 +784,7 @@
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
         self.watch_fails = 0
+        self.watch_asked_at = -math.inf  # since when the watch, or its present call, has been out
         self.witness: Witness | None = None
         self.arriving: dict[int, dict[str, Any]] = {}  # for the witness: what a fresh call was made of
 
@@ -831,14 +836,22 @@
         if event.kind is ListKind.FAILED:
             self.watching = False
             self.watch_fails += 1
-            longest = min(WATCH_RETRY * 2 ** min(self.watch_fails, 8), WATCH_RETRY_MOST)
-            self.watch_at = self.now + longest * (0.5 + 0.5 * self.random.random())
+            self.watch_at = self.next_watch_at(event.refused)
         else:
             if event.kind is not ListKind.SAVED:
                 self.watch_fails = 0
+                self.watch_asked_at = self.now
             self.servers.take_list(event, self.now)
             self.admission.set_least(len(self.servers.known), self.settings.balancers)
 
+    def next_watch_at(self, refused: bool) -> float:
+        """When discovery is asked again after a failed call."""
+        longest: float = min(WATCH_RETRY * 2 ** min(self.watch_fails, 8), WATCH_RETRY_MOST)
+        soon = self.now + longest * (0.5 + 0.5 * self.random.random())
+        if not refused or self.watch_fails == 1:
+            return soon
+        return max(soon, self.watch_asked_at + self.random.uniform(*REFUSED_RETRY))
+
     def on_arrival(self, event: Arrival, fresh: list[Call]) -> None:
         if event.call in self.gate.calls or event.call in self.gate.over:
             return
@@ -1111,6 +1124,7 @@
     def watch(self) -> None:
         if not self.watching and self.now >= self.watch_at:
             self.watching = True
+            self.watch_asked_at = self.now
             self.actions.append(Watch(True))
 
     def watch_ages(self) -> None:
--- a/granitepoint/rig/share.py
+++ b/granitepoint/rig/share.py
@@ -1,7 +1,7 @@
 """A share of a core for one process, without rights: it is stopped while it is ahead of its share.
 
-The platform gives a proxy a part of a core. SIGSTOP and SIGCONT give the same on any machine: what the process
-does takes `1 / share` times as long, in pieces of a few milliseconds.
+The platform gives a proxy a part of a core. SIGSTOP and SIGCONT give the same on any machine: what the
+process does takes `1 / share` times as long, in pieces of a few milliseconds.
 """
 
 from __future__ import annotations
--- a/tests/test_watch_pacing.py
+++ b/tests/test_watch_pacing.py
@@ -1,10 +1,11 @@
 """How a fleet asks discovery again when it has been down or is crowded.
 
-Seen (report 83daec): with discovery back after an outage no proxy was answered for the rest of the day, and one sent to a
-server whose drain counted as known. How it came about: discovery answers calls in turn and refuses one that has waited 2 s.
-Each refused proxy asked again within a second, so more calls came than were answered, each waited longer than 2 s, and
-discovery's time went into calls that nobody waited for any more. What proved it: with longer pauses alone, all were
-answered within seconds of the same outage; watches that went on were never refused.
+Seen (report 83daec): with discovery back after an outage no proxy was answered for the rest of the day, and
+one sent to a server whose drain counted as known. How it came about: discovery answers calls in turn and
+refuses one that has waited 2 s. Each refused proxy asked again within a second, so more calls came than
+were answered, each waited longer than 2 s, and discovery's time went into calls that nobody waited for any
+more. What proved it: with longer pauses alone, all were answered within seconds of the same outage; no
+watch that went on was refused.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 import heapq
 from itertools import count
 
-from helpers import settings
+from helpers import Driver, settings
 
 from granitepoint import Balancer, ListKind, ServerList, SetTimer, Timer, Watch
 from granitepoint.interface import Event
@@ -24,11 +25,12 @@
 PATIENCE = 2.0  # s that a call waits for its turn before discovery refuses it
 OUTAGE = 8.0  # s
 TOLD_WITHIN = 6.0  # s after which a change counts as told
+DRAIN_GRACE = 0.5  # s
 
 
 class CrowdedDiscovery:
     """Answers first calls one after another, also those that it has refused meanwhile; a watch that goes on
-    costs it nothing. `capacity`: first calls that it can answer in the time in which each proxy has to ask."""
+    costs nothing. `capacity`: first calls that it can answer in the time in which each proxy has to ask."""
 
     def __init__(self, capacity: float, down_until: float) -> None:
         self.turn = MUST_ASK_WITHIN / (capacity * PROXIES)  # s
@@ -46,7 +48,7 @@
 
 
 def answered_after(capacity: float, outage: float) -> list[float]:
-    """Seconds from discovery's return to each proxy's first answer, in order; all watches end as it goes down."""
+    """Seconds from discovery's return to each proxy's first answer. All watches end at the outage."""
     back_at = BEGIN + outage
     discovery = CrowdedDiscovery(capacity, back_at)
     proxies = [
@@ -91,3 +93,16 @@
         assert len(took) == PROXIES, capacity
         assert took[PROXIES // 2] < TOLD_WITHIN, capacity
         assert took[-1] < 2 * TOLD_WITHIN, capacity
+
+
+def test_a_refused_call_is_repeated_early_enough_for_a_fleet_of_one() -> None:
+    """A change of the outage counts as told 6 s after discovery is back, and the grace of a drain follows."""
+    driver = Driver(settings(ask_for_list=True, must_ask_within=MUST_ASK_WITHIN))
+    while Watch(True) not in driver.wait(0.1):
+        pass
+    driver.feed(ServerList(ListKind.FULL))
+    for _ in range(200):
+        driver.feed(ServerList(ListKind.FAILED, refused=True))
+        asked_at = driver.now
+        while Watch(True) not in driver.wait(0.05):
+            assert driver.now - asked_at < TOLD_WITHIN + DRAIN_GRACE
