Ask the next call of a watch before its list is taken, and take only what a list changes

Cause: net/discovery.py _watching asked again when on_list had returned, and each list went whole through connections, capture and decisions: 35 ms of a core for 3,200 servers, more than 0.2 s at a small share together with a pause of 0.15 s. get() ended at a fixed time, also in the midst of an answer; move() cancelled the old watch. The next call goes out first; at most four calls go out at once before they are spaced by 0.05 s. An answer whose parts come is waited for, up to 3 s beyond its time; a call for the whole list has 2.1 s, as discovery may take 2 s. After a move the old address is read until the new one has answered. If a list can't be taken, the whole one is asked for.

--- a/granitepoint/net/capture.py
+++ b/granitepoint/net/capture.py
@@ -13,7 +13,7 @@
 
 from granitepoint.interface import Arrival, ServerState
 from granitepoint.net.config import Config
-from granitepoint.net.discovery import Listed, Listing
+from granitepoint.net.lists import Listed, Listing
 from granitepoint.net.reports import read_report
 from granitepoint.net.request import Request
 from granitepoint.net.writer import Writer, to_descriptor
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -1,20 +1,17 @@
-"""Discovery: reads lists of backends, and asks for them (fetch) or for what changed (watch)."""
+"""Discovery: asks for the list of backends (fetch) or for what changes in it (watch)."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import time
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from hashlib import blake2b
+from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
 
-from granitepoint.interface import ServerEntry, ServerState
-from granitepoint.net.config import Address, address
+from granitepoint.net.config import Address
+from granitepoint.net.lists import Inventory, Listing, decode
 
 log = logging.getLogger(__name__)
 
@@ -25,69 +22,20 @@
 # it needs ANSWER_TIMEOUT at most, and the pause before it is taken to be shorter than another half second.
 MOST_HOLD = TOLD_WITHIN - 2 * ANSWER_TIMEOUT - 0.5  # s
 CONNECT_TIMEOUT = 1.0  # s
-LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
+WHOLE_TIMEOUT = 2.1  # s for a call that waits for nothing: discovery may take 2 s before it refuses one
+LONGEST_READ = 3.0  # s beyond its time that an answer may take whose parts go on coming
+LEAST_SPACING = 0.05  # s between calls on average, should discovery answer each at once
+MOST_AT_ONCE = 4.0  # calls of a watch that go out at once all the same: news may come one after another
+QUIET = 100  # bytes of an answer that tells of nothing new
 LIST_PATH = "/v1/servers"
 LARGEST = 8 << 20  # bytes of an answer
 REFUSALS = (429, 503)  # what discovery answers where it is down or has too many calls to answer in time
 
-STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
-# Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
-# of the wall clock would look like a restart of every backend.
-WALL_OFFSET = time.time() - time.monotonic()
-
 
 class RefusedError(ValueError):
     """Discovery answered that it does not answer this call."""
 
 
-@dataclass(slots=True)
-class Listed:
-    """A backend as a list names it."""
-
-    name: str
-    address: Address
-    entry: ServerEntry
-
-
-@dataclass(slots=True)
-class Listing:
-    version: int
-    whole: bool
-    backends: list[Listed]
-
-
-def server_id(name: str) -> int:
-    """The module's number of a backend: the same at every proxy, whose rings of backends must agree."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
-
-
-def read_listing(raw: object) -> Listing:
-    """Raises ValueError where the list can't be used."""
-    try:
-        if not isinstance(raw, Mapping):
-            raise ValueError("not an object")
-        return Listing(int(raw["index"]), bool(raw["snapshot"]), [_listed(item) for item in raw["endpoints"]])
-    except (KeyError, TypeError, AttributeError, OverflowError) as fault:
-        raise ValueError(f"malformed list: {fault!r}") from None
-
-
-def _listed(item: Mapping[str, Any]) -> Listed:
-    since_ms = float(item.get("since_ms") or 0)
-    started = max(since_ms / 1000 - WALL_OFFSET, 1e-3) if since_ms > 0 else 0.0
-    entry = ServerEntry(
-        server=server_id(str(item["name"])),
-        zone=str(item.get("zone", "")),
-        kind=str(item.get("type", "")),
-        cell=int(item.get("group", 0)),
-        state=STATES[item["status"]],
-        weight=float(item.get("weight", 1.0)),
-        started_at=started,
-    )
-    if not (entry.weight - entry.weight == 0.0 and started - started == 0.0):
-        raise ValueError("a figure of the list is not finite")
-    return Listed(str(item["name"]), address(item["address"]), entry)
-
-
 class _Channel(asyncio.Protocol):
     """One kept connection to discovery, with one call at a time."""
 
@@ -98,6 +46,7 @@
         self.body = bytearray()
         self.framed = False  # the answer's headers tell where its body ends
         self.until_close = False  # its body ends with the connection
+        self.moved_at = 0.0  # when bytes last came
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
@@ -107,6 +56,7 @@
         self._fail(ConnectionError("discovery closed the connection"))
 
     def data_received(self, data: bytes) -> None:
+        self.moved_at = time.monotonic()
         try:
             self.parser.feed_data(data)
         except Exception as fault:  # whatever it is, the stream can't be followed any further
@@ -149,34 +99,58 @@
             self.answer.set_exception(fault)
 
     def close(self) -> None:
+        self.answer = None  # nobody waits for it any more
         if self.transport is not None:
             self.transport.close()
             self.transport = None
 
-    async def get(self, at: Address, target: str, timeout: float) -> tuple[int, bytes]:
+    async def begin(self, at: Address, target: str) -> asyncio.Future[tuple[int, bytes]]:
+        """Writes a call, over a new connection if need be; the future is of its answer. Raises OSError."""
         loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(timeout):
-                if self.transport is None:
-                    async with asyncio.timeout(CONNECT_TIMEOUT):
-                        await loop.create_connection(lambda: self, *at)
-                assert self.transport is not None
-                self.parser = httptools.HttpResponseParser(self)
-                self.body.clear()
-                self.until_close = False
-                self.answer = loop.create_future()
-                self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {at[0]}:{at[1]}\r\n\r\n".encode())
-                return await self.answer
-        except BaseException:
-            self.close()
-            raise
-        finally:
-            self.answer = None
+        if self.transport is None:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                await loop.create_connection(lambda: self, *at)
+        if self.transport is None:
+            raise ConnectionError("lost as soon as made")
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+        self.until_close = False
+        self.answer = loop.create_future()
+        self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {at[0]}:{at[1]}\r\n\r\n".encode())
+        return self.answer
+
+
+class Call:
+    """One call to discovery that is out: what it asks for, and by when it is to be answered."""
+
+    def __init__(self, target: str, timeout: float, moves: int) -> None:
+        """`timeout`: s; `moves`: how often discovery had moved when it began."""
+        self.target, self.timeout, self.moves = target, timeout, moves
+        self.begun_at = time.monotonic()
+        self.answer: asyncio.Future[tuple[int, bytes]] | None = None
+
+    async def result(self, channel: _Channel) -> bytes:
+        """The body of the answer; raises OSError, TimeoutError or ValueError. As long as parts of an answer
+        come it is waited for: given up, it would be asked for and written again from its beginning."""
+        assert self.answer is not None
+        due = self.begun_at + self.timeout
+        while not self.answer.done():
+            now = time.monotonic()
+            latest = max(due, min(channel.moved_at + ANSWER_TIMEOUT, due + LONGEST_READ))
+            if now >= latest:
+                raise TimeoutError
+            await asyncio.wait((self.answer,), timeout=latest - now)
+        code, body = self.answer.result()
+        if code in REFUSALS:
+            raise RefusedError(f"status {code}")
+        if code != 200:
+            raise ValueError(f"status {code}")
+        return body
 
 
 class Discovery:
-    """Asks as the module says, and hands on each list, or that a call failed. Asks nothing by itself, but
-    for the next call of a watch that goes on."""
+    """Asks as the module says, and hands on what each list changes, or that a call failed. Asks nothing by
+    itself, but for the next call of a watch that goes on."""
 
     def __init__(
         self,
@@ -185,15 +159,20 @@
         must_ask_within: float,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[bool], None],
+        inventory: Inventory | None = None,
     ) -> None:
+        """`inventory`: the list of `version`, if one is known. `on_failed` is told whether discovery has
+        refused the call."""
         self.at, self.version = at, version  # None: no list of this address is known; 0 is a version too
         # A watch that discovery forgot looks like one with nothing to tell until its wait is over. So the
         # wait is what a forgotten watch costs: with a long one a whole fleet sends to servers long gone.
         self.hold = min(HOLD_SHARE * must_ask_within, MOST_HOLD)  # s
-        self.on_list = on_list
-        self.on_failed = on_failed  # told whether discovery refused the call
+        self.on_list, self.on_failed = on_list, on_failed
+        self.inventory = inventory or Inventory()
         self.heard = asyncio.Event()  # has a list come
+        self.moves = 0  # to other addresses; what began before the last one has no say in what follows
         self._watch: asyncio.Task[None] | None = None
+        self._left: asyncio.Task[None] | None = None  # the watch at the address before
         self._fetches: set[asyncio.Task[None]] = set()
 
     def watch(self, on: bool) -> None:
@@ -204,9 +183,14 @@
             self._watch = asyncio.get_running_loop().create_task(self._watching())
 
     def move(self, at: Address) -> None:
-        """Another address, whose versions may be others: the whole list is asked for there, at once."""
-        self.stop()
+        """Another address, whose versions may be others: the whole list is asked for there, at once. What the
+        one before has told already counts, so its watch is read until the other address has answered."""
+        for task in (self._left, *self._fetches):
+            if task is not None:
+                task.cancel()
+        self._left, self._watch = self._watch, None
         self.at, self.version = at, None
+        self.moves += 1
         self.watch(True)
 
     def fetch(self) -> None:
@@ -215,61 +199,116 @@
         task.add_done_callback(self._fetches.discard)
 
     def stop(self) -> None:
-        for task in (self._watch, *self._fetches):
+        for task in (self._watch, self._left, *self._fetches):
             if task is not None:
                 task.cancel()
 
     async def _watching(self) -> None:
+        """A watch goes on if its next call comes within 0.2 s of an answer; else it begins anew, behind all
+        others that call. So the next call goes out before the list is taken, however long that takes."""
         channel = _Channel()
-        loop = asyncio.get_running_loop()
+        at_once = MOST_AT_ONCE
+        moves = self.moves
         try:
-            while True:
-                begun = loop.time()
-                if not await self._ask_for_changes(channel):
+            call = await self._begin(channel)
+            while call is not None:
+                body = await self._answered(channel, call)
+                if body is None:
+                    return
+                listing = self._read(body, call)
+                if listing is None:
                     return
-                await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
+                if moves != self.moves:  # discovery has moved: this was the last word from here
+                    self._hand_on(listing, call, len(body))
+                    return
+                spent = time.monotonic() - call.begun_at
+                at_once = min(MOST_AT_ONCE, at_once + spent / LEAST_SPACING) - 1
+                call_before = call
+                if at_once >= 0:
+                    call = await self._begin(channel)
+                    await asyncio.sleep(0)  # the loop writes it now
+                    self._hand_on(listing, call_before, len(body))
+                else:
+                    self._hand_on(listing, call_before, len(body))
+                    await asyncio.sleep(LEAST_SPACING - spent)
+                    call = await self._begin(channel)
         finally:
             channel.close()
 
-    async def _ask_for_changes(self, channel: _Channel) -> bool:
+    async def _begin(self, channel: _Channel) -> Call | None:
         """The next call of a watch; where no list is known, for the whole one, which waits for nothing."""
         if self.version is None:
-            return await self._ask(channel, LIST_PATH, ANSWER_TIMEOUT)
-        target = f"{LIST_PATH}?from={self.version}&hold_ms={int(self.hold * 1000)}"
-        return await self._ask(channel, target, self.hold + ANSWER_TIMEOUT)
+            call = Call(LIST_PATH, WHOLE_TIMEOUT, self.moves)
+        else:
+            target = f"{LIST_PATH}?from={self.version}&hold_ms={int(self.hold * 1000)}"
+            call = Call(target, self.hold + ANSWER_TIMEOUT, self.moves)
+        return await self._write(channel, call)
+
+    async def _write(self, channel: _Channel, call: Call) -> Call | None:
+        try:
+            call.answer = await channel.begin(self.at, call.target)
+        except (OSError, TimeoutError) as fault:
+            self._failed(call, fault)
+            return None
+        return call
 
     async def _fetching(self) -> None:
         channel = _Channel()
         try:
-            await self._ask(channel, LIST_PATH, ANSWER_TIMEOUT)
+            call = await self._write(channel, Call(LIST_PATH, WHOLE_TIMEOUT, self.moves))
+            body = await self._answered(channel, call) if call is not None else None
+            listing = self._read(body, call) if call is not None and body is not None else None
+            if call is not None and body is not None and listing is not None:
+                self._hand_on(listing, call, len(body))
         finally:
             channel.close()
 
-    async def _ask(self, channel: _Channel, target: str, timeout: float) -> bool:
-        asked_at = time.monotonic()
+    async def _answered(self, channel: _Channel, call: Call) -> bytes | None:
         try:
-            code, body = await channel.get(self.at, target, timeout)
-            answered_at = time.monotonic()
-            if code in REFUSALS:
-                raise RefusedError(f"status {code}")
-            if code != 200:
-                raise ValueError(f"status {code}")
-            listing = read_listing(json.loads(body))
+            return await call.result(channel)
         except (OSError, TimeoutError, ValueError) as fault:
-            log.warning(
-                "discovery: call failed: target=%s after_ms=%d version=%s reason=%s",
-                target, 1000 * (time.monotonic() - asked_at), self.version,
-                str(fault) or type(fault).__name__,
-            )  # fmt: skip
+            self._failed(call, fault)
+            return None
+
+    def _read(self, body: bytes, call: Call) -> Listing | None:
+        """What the list changes; from here on its version is asked from."""
+        try:
+            answer = decode(body)
+            listing = self.inventory.take(answer)
+        except ValueError as fault:
+            self._failed(call, fault)
+            return None
+        if call.moves == self.moves:
+            self.version = answer.index
+            if self._left is not None:
+                self._left.cancel()
+                self._left = None
+        return listing
+
+    def _failed(self, call: Call, fault: Exception) -> None:
+        log.warning(
+            "discovery: call failed: target=%s after_ms=%d version=%s reason=%s",
+            call.target, 1000 * (time.monotonic() - call.begun_at), self.version,
+            str(fault) or type(fault).__name__,
+        )  # fmt: skip
+        if call.moves == self.moves:
             self.on_failed(isinstance(fault, RefusedError))
-            return False
-        self.version = listing.version
+
+    def _hand_on(self, listing: Listing, call: Call, size: int) -> None:
+        began = time.monotonic()
         self.heard.set()
-        self.on_list(listing)
-        if listing.backends:
+        try:
+            self.on_list(listing)
+        except Exception:
+            # Whoever follows the list may have missed a change, and no later list would repeat it.
+            log.exception("discovery: a list could not be taken")
+            self.inventory.forget()
+            self.version = None
+            self.watch(True)
+        if size > QUIET:
             log.info(
-                "discovery: list taken: version=%d whole=%s entries=%d bytes=%d after_ms=%d took_ms=%d",
-                listing.version, listing.whole, len(listing.backends), len(body),
-                1000 * (answered_at - asked_at), 1000 * (time.monotonic() - answered_at),
+                "discovery: list taken: version=%d whole=%s changed=%d known=%d bytes=%d after_ms=%d "
+                "took_ms=%d",
+                listing.version, listing.whole, len(listing.backends), len(self.inventory.known), size,
+                1000 * (began - call.begun_at), 1000 * (time.monotonic() - began),
             )  # fmt: skip
-        return True
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -19,9 +19,10 @@
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.desk import Desk, OpenCall
-from granitepoint.net.discovery import Discovery, Listing, read_listing
+from granitepoint.net.discovery import Discovery
 from granitepoint.net.exchange import LATE, ONE_TURN, Exchange
 from granitepoint.net.hop import HOP_BY_HOP
+from granitepoint.net.lists import Inventory, Listing
 from granitepoint.net.peer import Reply
 from granitepoint.net.reports import read_report
 from granitepoint.net.request import Request
@@ -94,10 +95,13 @@
             self.balancer.witness = capture.step
 
     def _own_feed(self) -> Discovery:
-        config, known = self.config, self.known(self.config)
+        config, inventory = self.config, Inventory()
+        known = self.known(config, inventory)
         version = known.version if config.known else None
         within = config.settings.must_ask_within
-        self.discovery = Discovery(config.discovery, version, within, self._on_list, self.list_failed)
+        self.discovery = Discovery(
+            config.discovery, version, within, self._on_list, self.list_failed, inventory
+        )
         self.upstreams.apply(known)
         if self.capture is not None:
             self.capture.listed(known)
@@ -105,10 +109,10 @@
         return self.discovery
 
     @staticmethod
-    def known(config: Config) -> Listing:
+    def known(config: Config, inventory: Inventory) -> Listing:
         """The list that the configuration holds; raises ConfigError."""
         try:
-            return read_listing(config.known) if config.known else Listing(0, True, [])
+            return inventory.adopt(config.known) if config.known else Listing(0, True, [])
         except ValueError as fault:
             raise ConfigError(f"bad configuration: known: {fault}") from None
 
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -18,10 +18,11 @@
 from granitepoint.net.capture import Capture
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.desk import Desk, OpenCall
-from granitepoint.net.discovery import Discovery, Listed, Listing
+from granitepoint.net.discovery import Discovery
 from granitepoint.net.driver import Driver
 from granitepoint.net.edits import edit, fixed, redirected, rewritten
 from granitepoint.net.features import RoutesSettings
+from granitepoint.net.lists import Inventory, Listed, Listing
 from granitepoint.net.peer import Reply, Source
 from granitepoint.net.request import BadRequest, Headers, Request, Routed
 from granitepoint.net.tables import prepared, read_file
@@ -160,9 +161,12 @@
         self.refused_digest = ""  # of the text that was found bad last
         self.ruled = False  # by a policy that all proxies have, whatever the file says
         self.beside: list[Generation] = []  # not in use, and kept for requests that are stamped with them
-        known = Driver.known(config)
+        inventory = Inventory()
+        known = Driver.known(config, inventory)
         version, within = known.version if config.known else None, config.settings.must_ask_within
-        self.discovery = Discovery(config.discovery, version, within, self._on_list, self._on_failed)
+        self.discovery = Discovery(
+            config.discovery, version, within, self._on_list, self._on_failed, inventory
+        )
         self._take(known)
         text = read_file(settings.file)
         try:
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -15,8 +15,8 @@
 from granitepoint.interface import ServerState, Status
 from granitepoint.limits.memory import WHOLE
 from granitepoint.net.config import Address
-from granitepoint.net.discovery import Listing
 from granitepoint.net.exchange import Exchange
+from granitepoint.net.lists import Listing
 from granitepoint.net.sockets import has_unread
 
 log = logging.getLogger(__name__)
--- a/granitepoint/replay.py
+++ b/granitepoint/replay.py
@@ -32,7 +32,7 @@
 )
 from granitepoint.net.capture import VERSION
 from granitepoint.net.config import flatten
-from granitepoint.net.discovery import STATES, server_id
+from granitepoint.net.lists import STATES, server_id
 from granitepoint.net.reports import read_report
 
 PLAIN = re.compile(r"[\w.:-]+", re.ASCII)
--- a/granitepoint/rig/bad.py
+++ b/granitepoint/rig/bad.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from granitepoint.interface import ServerState, Status
-from granitepoint.net import discovery
+from granitepoint.net import lists
 from granitepoint.net.client import ClientConnection
 from granitepoint.net.driver import Driver
 from granitepoint.net.request import Request
@@ -141,7 +141,7 @@
 
 def drains() -> None:
     """Does not heed that a backend drains."""
-    discovery.STATES["Terminating"] = ServerState.SERVING
+    lists.STATES["Terminating"] = ServerState.SERVING
 
 
 def clock(rate: float) -> None:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -33,7 +33,7 @@
 from granitepoint.logic import Servers
 from granitepoint.net.capture import Capture, CaptureSettings
 from granitepoint.net.config import Config, flatten
-from granitepoint.net.discovery import read_listing, server_id
+from granitepoint.net.lists import read_listing, server_id
 from granitepoint.net.request import Request
 from granitepoint.replay import Unusable, differences, replay
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -31,8 +31,8 @@
 
 from granitepoint import Status
 from granitepoint.net.config import address
-from granitepoint.net.discovery import read_listing
 from granitepoint.net.exchange import Exchange
+from granitepoint.net.lists import read_listing
 from granitepoint.net.upstream import REST, Upstreams
 
 
