Do work for what a list changes alone: connections, capture, rings of servers

Cause: with 3,200 servers a change of one went through all of them: Upstreams.apply and _sweep looked at each, capture encoded the whole list anew, fill_pool sorted all at each ejection. Change: only what is named is touched; capture keeps encoded entries; serving servers by zone are sorted once a list; only upstreams with idle connections are swept.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -495,6 +495,7 @@
         self.random = random
         self.known: dict[int, Server] = {}
         self.pool: list[Server] = []
+        self.rings: dict[str, list[Server]] = {}  # serving servers by zone
         self.mean_load = Mean(1.0)
         self.zone_load: dict[str, Mean] = {}  # reported calls for each unit of size
         self.errors = Mean(0.0)
@@ -532,6 +533,7 @@
                     server.state = ServerState.GONE
         for server in [s for s in self.known.values() if s.state is ServerState.GONE and not s.out]:
             del self.known[server.id]
+        self.renew_rings()
         self.fill_pool(now)
 
     def fill_pool(self, now: float) -> None:
@@ -539,23 +541,16 @@
 
         Each zone's servers form a ring; instances start at places spread evenly by their number.
         """
-        zones: dict[str, list[Server]] = {}
-        for id in sorted(self.known):
-            server = self.known[id]
-            if server.state is ServerState.SERVING:
-                zones.setdefault(server.zone, []).append(server)
         place = self.settings.me * 0.6180339887498949 % 1.0
         pool: list[Server] = []
         others: list[list[Server]] = []
-        for zone in sorted(zones):
-            ring = zones[zone]
+        for zone in sorted(self.rings):
+            ring = self.rings[zone]
             start = int(place * len(ring))
-            ring = ring[start:] + ring[:start]
-            ring = [s for s in ring if not s.ejected_until] + [s for s in ring if s.ejected_until]
             if zone == self.settings.zone:
-                pool = ring[:POOL_LOCAL]
+                pool = self.first_usable(ring, start, POOL_LOCAL)
             else:
-                others.append(ring)
+                others.append(self.first_usable(ring, start, POOL))
         place_of = 0
         while len(pool) < POOL and any(len(ring) > place_of for ring in others):
             for ring in others:
@@ -564,6 +559,29 @@
             place_of += 1
         self.pool = pool
 
+    def renew_rings(self) -> None:
+        """Each zone's serving servers in the order of their numbers, which is the same at every instance."""
+        self.rings = {}
+        for id in sorted(self.known):
+            server = self.known[id]
+            if server.state is ServerState.SERVING:
+                self.rings.setdefault(server.zone, []).append(server)
+
+    @staticmethod
+    def first_usable(ring: list[Server], start: int, most: int) -> list[Server]:
+        """The first servers from a place of a ring on, ejected ones behind all others."""
+        found: list[Server] = []
+        ejected: list[Server] = []
+        for step in range(len(ring)):
+            server = ring[(start + step) % len(ring)]
+            if server.ejected_until:
+                ejected.append(server)
+                continue
+            found.append(server)
+            if len(found) == most:
+                return found
+        return (found + ejected)[:most]
+
     def ramp(self, server: Server, now: float) -> float:
         """Share of its capacity that a server surely has: it warms no slower than evenly."""
         age = now - server.ramp_from
--- a/granitepoint/net/capture.py
+++ b/granitepoint/net/capture.py
@@ -13,7 +13,7 @@
 
 from granitepoint.interface import Arrival, ServerState
 from granitepoint.net.config import Config
-from granitepoint.net.lists import Listed, Listing
+from granitepoint.net.lists import Listing
 from granitepoint.net.reports import read_report
 from granitepoint.net.request import Request
 from granitepoint.net.writer import Writer, to_descriptor
@@ -155,8 +155,9 @@
             "start", seed=f"{config.seed:x}", name=config.name, at=time.monotonic(),
             settings=config.raw_settings,
         )  # fmt: skip
-        self.backends: dict[str, Listed] = {}
+        self.endpoints: dict[str, bytes] = {}  # of the list as it stands, encoded, by name
         self.names: dict[int, str] = {}
+        self.gone: set[int] = set()  # by the latest list; a pick may still come from the one before
         self.index = self.serial = 0
         self.lists: dict[int, bytes] = {}  # the latest, and those that a record or an open request needs
         self.uses: dict[int, int] = {}
@@ -177,29 +178,35 @@
 
     # what the driver tells
     def listed(self, listing: Listing) -> None:
-        """A list record is always the whole list, whatever came."""
+        """A list record is always the whole list, whatever came; only what has changed is encoded anew."""
+        for server in self.gone:
+            del self.names[server]
+        self.gone = {
+            listed.entry.server for listed in listing.backends if listed.entry.state is ServerState.GONE
+        }
         if listing.whole:
-            self.backends = {}
+            self.endpoints, self.names = {}, {}
         for listed in listing.backends:
-            self.backends[listed.name] = listed
-        self.names = {listed.entry.server: name for name, listed in self.backends.items()}
+            entry = listed.entry
+            self.names[entry.server] = listed.name
+            self.endpoints[listed.name] = self.encode(
+                {"name": listed.name, "zone": entry.zone, "group": entry.cell,
+                 "status": STATUS[entry.state], "weight": entry.weight}
+            )  # fmt: skip
         before = self.serial
         self.serial += 1
         self.index = listing.version
-        endpoints = [
-            {"name": name, "zone": listed.entry.zone, "group": listed.entry.cell,
-             "status": STATUS[listed.entry.state], "weight": listed.entry.weight}
-            for name, listed in self.backends.items()
-        ]  # fmt: skip
-        text = self._line("list", list=self.serial, index=self.index, endpoints=endpoints)
+        head = self._line("list", list=self.serial, index=self.index)[:-2]
+        text = head + b',"endpoints":[' + b",".join(self.endpoints.values()) + b"]}\n"
         self.lists[self.serial] = text
         self.size += len(text)
         self._forget_list(before)
-        gone = [name for name, listed in self.backends.items() if listed.entry.state is ServerState.GONE]
-        for name in gone:
-            del self.backends[name]
-        known = {listed.entry.server for listed in self.backends.values()}
-        self.reports = {server: report for server, report in self.reports.items() if server in known}
+        for listed in listing.backends:
+            if listed.entry.state is ServerState.GONE:
+                del self.endpoints[listed.name]
+                self.reports.pop(listed.entry.server, None)
+        if listing.whole:
+            self.reports = {server: told for server, told in self.reports.items() if server in self.names}
         self._shrink()
 
     def reported(self, server: int, text: bytes) -> None:
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -16,7 +16,7 @@
 from granitepoint.limits.memory import WHOLE
 from granitepoint.net.config import Address
 from granitepoint.net.exchange import Exchange
-from granitepoint.net.lists import Listing
+from granitepoint.net.lists import Listed, Listing
 from granitepoint.net.sockets import has_unread
 
 log = logging.getLogger(__name__)
@@ -279,7 +279,7 @@
             place -= 1
             connection = self.idle[place]
             if connection.idle_since > now - self.owner.idle_for and connection.silent:
-                del self.idle[place]
+                self.forget(connection)
                 return connection
             connection.abandon()  # and is no longer at that place
         return None
@@ -290,10 +290,13 @@
             return
         connection.idle_since = time.monotonic()
         self.idle.append(connection)
+        self.owner.with_idle.add(self)
 
     def forget(self, connection: Connection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
+            if not self.idle:
+                self.owner.with_idle.discard(self)
 
     def lost(self, connection: Connection) -> None:
         self.forget(connection)
@@ -321,6 +324,7 @@
         self.made = 0  # connections that are up
         self.scratch = memoryview(bytearray(WHOLE))  # into which all connections read
         self.by_id: dict[int, Upstream] = {}
+        self.with_idle: set[Upstream] = set()  # a few of thousands
         self._connects: set[asyncio.Task[None]] = set()
         self.loop.call_later(SWEEP, self._sweep)
 
@@ -338,25 +342,36 @@
         return any(upstream.serving for upstream in list(self.by_id.values()))
 
     def apply(self, listing: Listing) -> None:
+        """Takes what a list says; of what it does not name nothing changes, unless it is the whole list."""
         named = set()
         for listed in listing.backends:
-            entry = listed.entry
-            named.add(entry.server)
-            upstream = self.by_id.get(entry.server)
-            if upstream is None:
+            named.add(listed.entry.server)
+            self._told(listed)
+        if listing.whole:
+            for server in [server for server in self.by_id if server not in named]:
+                self._ended(server, ServerState.GONE)
+
+    def _told(self, listed: Listed) -> None:
+        entry = listed.entry
+        upstream = self.by_id.get(entry.server)
+        if upstream is None:
+            if entry.state is not ServerState.GONE:
                 self.by_id[entry.server] = Upstream(self, listed.address, entry.started_at, entry.state)
-                continue
-            if upstream.address != listed.address or entry.started_at > upstream.started_at:
-                upstream.renew()
-            upstream.address, upstream.started_at = listed.address, entry.started_at
-            upstream.state = entry.state
-        for server, upstream in list(self.by_id.items()):
-            if listing.whole and server not in named:
-                upstream.state = ServerState.GONE
-            if not upstream.serving:
-                upstream.close_idle()
-            if upstream.state is ServerState.GONE:
-                del self.by_id[server]  # what is out on it ends by itself
+            return
+        if upstream.address != listed.address or entry.started_at > upstream.started_at:
+            upstream.renew()
+        upstream.address, upstream.started_at = listed.address, entry.started_at
+        upstream.state = entry.state
+        if entry.state is not ServerState.SERVING:
+            self._ended(entry.server, entry.state)
+
+    def _ended(self, server: int, state: ServerState) -> None:
+        """Nothing new goes there; what is out on it ends by itself."""
+        upstream = self.by_id[server]
+        upstream.state = state
+        upstream.close_idle()
+        if state is ServerState.GONE:
+            del self.by_id[server]
 
     def start(self, exchange: Exchange) -> None:
         upstream = exchange.upstream
@@ -395,7 +410,7 @@
 
     def _spare_one(self) -> bool:
         """At the bound, the connection that is idle the longest makes room."""
-        idle = [c for upstream in self.by_id.values() for c in upstream.idle[:1]]
+        idle = [connection for upstream in self.with_idle for connection in upstream.idle[:1]]
         if not idle:
             return False
         min(idle, key=lambda c: c.idle_since).abandon()
@@ -403,6 +418,6 @@
 
     def _sweep(self) -> None:
         oldest = time.monotonic() - self.idle_for
-        for upstream in self.by_id.values():
+        for upstream in list(self.with_idle):
             upstream.close_idle(oldest)
         self.loop.call_later(SWEEP, self._sweep)
