While news from discovery are overdue, send only to servers that took a call lately

Change: granitepoint/logic.py Servers.withhold. From 5.5 s without a word on, once a call has failed, a server gets calls only if one that was sent to it in the last 4.5 s was answered well: it has then not begun a drain that can count as known. One that turned a call away has to prove itself anew. Where none is proven all are used, as before. Captures tell it (withheld), so replay decides the same.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -104,6 +104,12 @@
 # into those that it has refused too: proxies that ask again at once keep it from answering anybody. The
 # longest still brings the news within the 6 s that a change may take and the grace of a drain.
 REFUSED_RETRY = (3.5, 6.4)  # s
+# A change counts as known 6 s after discovery had it, also where no call was answered. A server that took a
+# call has not begun to drain before that was sent, so it may be used for as long, less a connection that
+# comes up 1.5 s late and a pause of this process.
+NEWS_DUE = 5.5  # s without a word from discovery after which only such servers are used
+PROVEN_FOR = 4.5  # s after its sending that a call proves the server that took it
+LONGEST_ASK = 4.0  # s that a call to discovery may take until it fails
 TICK_TOKEN, ASK_TOKEN = 1, 2
 HELD, CUT, LATE, SHORT, DISPLACED, TRIES = "held", "cut", "late", "queue", "displaced", "tries"  # verdicts
 MOST_LATENCIES = 8.0  # mean latencies that a failed attempt counts as at most
@@ -449,7 +455,7 @@
 USED_OF_SERVER: dict[str, float] = {
     "out": 0, "since": 0, "usual": 0.0, "last_report": 0.0, "reported_at": -math.inf, "latency_sum": 0.0,
     "load_sum": 0.0, "used_at": -math.inf, "ramp_from": 0.0, "tokens": 0.0, "ejected_until": 0.0,
-    "trial": False, "most_out": 0, "most_out_until": 0.0, "drawn": 0.0,
+    "trial": False, "most_out": 0, "most_out_until": 0.0, "drawn": 0.0, "withheld": False,
 }  # fmt: skip
 
 
@@ -467,6 +473,7 @@
         self.drawn = 0.0  # by which the last pick told it from its equals
         self.probe_out = False
         self.probed_at = -math.inf
+        self.withheld = False  # it may have begun to drain: nobody would have told
         self.fresh()
 
     def told(self, entry: ServerEntry) -> None:
@@ -485,6 +492,7 @@
         self.used_at = -math.inf  # the last send or answer
         self.most_out, self.most_out_until = 0, 0.0  # while it has no room for more connections
         self.fail_streak = 0
+        self.proven_at = -math.inf  # when the latest call was sent that it took
 
 
 class Servers:
@@ -496,6 +504,7 @@
         self.known: dict[int, Server] = {}
         self.pool: list[Server] = []
         self.rings: dict[str, list[Server]] = {}  # serving servers by zone
+        self.overdue = False  # discovery has said nothing for so long that a drain may count as known
         self.mean_load = Mean(1.0)
         self.zone_load: dict[str, Mean] = {}  # reported calls for each unit of size
         self.errors = Mean(0.0)
@@ -558,6 +567,7 @@
                     pool.append(ring[place_of])
             place_of += 1
         self.pool = pool
+        self.withhold(now)
 
     def renew_rings(self) -> None:
         """Each zone's serving servers in the order of their numbers, which is the same at every instance."""
@@ -636,7 +646,7 @@
         return sum(server.hint for server in self.pool) / len(self.pool)
 
     def usable(self, server: Server, now: float) -> bool:
-        if server.state is not ServerState.SERVING or server.ejected_until:
+        if server.state is not ServerState.SERVING or server.ejected_until or server.withheld:
             return False
         if server.trial and server.out:
             return False
@@ -743,6 +753,16 @@
         """Servers that get no calls for what was seen of them; may be asked from another thread."""
         return [server for server in list(self.known.values()) if server.ejected_until]
 
+    def withhold(self, now: float) -> None:
+        """While news are overdue, servers that have not lately taken a call get none. Guards against sending
+        to one whose drain counts as known. Harm: fewer servers carry the load of a proxy that asks in vain;
+        where none has proven itself, all are used as before."""
+        unproven = [s for s in self.pool if self.overdue and s.proven_at < now - PROVEN_FOR]
+        if all(server in unproven or server.ejected_until for server in self.pool):
+            unproven = []
+        for server in self.pool:
+            server.withheld = server in unproven
+
     def eject(self, server: Server, now: float, hard: bool) -> bool:
         if server.ejected_until:
             return False
@@ -802,6 +822,7 @@
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
         self.watch_fails = 0
+        self.news_at = 0.0  # until when no change can have been missed
         self.watch_asked_at = -math.inf  # since when the watch, or its present call, has been out
         self.witness: Witness | None = None
         self.arriving: dict[int, dict[str, Any]] = {}  # for the witness: what a fresh call was made of
@@ -853,12 +874,15 @@
     def on_list(self, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
             self.watching = False
+            if not self.watch_fails:  # until then a watch was open, which may have fallen silent as it began
+                self.news_at = max(self.news_at, self.now - LONGEST_ASK)
             self.watch_fails += 1
             self.watch_at = self.next_watch_at(event.refused)
         else:
             if event.kind is not ListKind.SAVED:
                 self.watch_fails = 0
                 self.watch_asked_at = self.now
+            self.news_at = self.now
             self.servers.take_list(event, self.now)
             self.admission.set_least(len(self.servers.known), self.settings.balancers)
 
@@ -983,6 +1007,8 @@
         status = event.status
         busy = self.busy
         server.out -= 1
+        if status == Status.FULL:
+            server.proven_at = -math.inf  # a draining server says the same
         if status != Status.MOOT:
             server.since -= 1
         if status == Status.OK:
@@ -1029,6 +1055,7 @@
             # meanwhile is learned a turn later.
             if status == Status.OK:
                 server.last_ok = now
+                server.proven_at = max(server.proven_at, attempt.sent_at)
             return
         elapsed = max(elapsed, LEAST_LATENCY)
         ok = status == Status.OK
@@ -1065,6 +1092,7 @@
         servers.errors.add(float(failed), 100)
         if ok:
             server.last_ok = now
+            server.proven_at = max(server.proven_at, attempt.sent_at)
             server.slow_streak = server.fail_streak = 0
             if server.trial:
                 server.trial = False
@@ -1136,6 +1164,8 @@
         admission.standing, admission.crowd = servers.standing(now, span)
         servers.idle_safe = min(self.settings.conn_idle, servers.idle_safe * (1 + span / IDLE_DOUBLES))
         self.recover_ejected()
+        servers.overdue = self.watch_fails > 0 and now > self.news_at + NEWS_DUE
+        servers.withhold(now)
         self.probe(span)
         admission.set_cut()
 
