--- /dev/null
+++ b/tests/test_many_servers.py
@@ -0,0 +1,196 @@
+"""A proxy before 3,200 servers: drains take hold in time at a small share of a core, and while discovery is
+crowded."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+from netkit import (
+    ROOT,
+    SETTINGS,
+    Caller,
+    config,
+    free_address,
+    listing,
+    read_message,
+    response,
+    run,
+    start_program,
+    until_ready,
+)
+
+from granitepoint.rig.nodes.many import ManyServers
+from granitepoint.rig.share import CpuShare
+
+SERVERS = 3200
+GRACE = 0.55  # s, with the slack of sockets
+TOLD_WITHIN = 6.0  # s after which a change counts as told, also where each call was refused
+PATIENCE = 2.0  # s that a call waits until discovery refuses it
+SHARE = 0.2  # of a core
+WORK = 0.1  # s of a call
+CLIENTS = 8  # of each proxy that come at once
+CONTRACT = {**SETTINGS["contract"], "drain_grace": 0.5}
+
+
+class Watched:
+    """Discovery that tells its watches each change, refuses every call while it is `crowded`, and then ends
+    the watches that it has."""
+
+    def __init__(self) -> None:
+        self.crowded = False
+        self.version = 1
+        self.changed = asyncio.Condition()
+        self.change = b""
+        self.watches = 0
+        self.address = ""
+        self.told_at = 0.0
+
+    async def start(self) -> Watched:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                line, _, _ = await read_message(reader)
+                writer.write(await self._answer(line.split(" ")[1]))
+                await writer.drain()
+        writer.close()
+
+    async def _answer(self, target: str) -> bytes:
+        if self.crowded:
+            await asyncio.sleep(PATIENCE)
+            return response(503)
+        query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
+        version, hold = int(query["from"]), int(query["hold_ms"]) / 1000
+        self.watches += 1
+        try:
+            async with asyncio.timeout(hold), self.changed:
+                await self.changed.wait_for(lambda: self.version > version or self.crowded)
+        except TimeoutError:
+            return response(200, json.dumps(listing(version, snapshot=False)).encode())
+        finally:
+            self.watches -= 1
+        if self.crowded:
+            return response(503)
+        self.told_at = time.monotonic()
+        return response(200, self.change)
+
+    async def tell(self, change: dict[str, object]) -> None:
+        async with self.changed:
+            self.version += 1
+            self.change = json.dumps(change).encode()
+            self.changed.notify_all()
+
+    async def crowd(self) -> None:
+        async with self.changed:
+            self.crowded = True
+            self.changed.notify_all()
+
+
+class Proxies:
+    """Real proxies before many servers, each asked by a client of its own."""
+
+    def __init__(self, processes: list[asyncio.subprocess.Process], addresses: list[tuple[str, int]]) -> None:
+        self.processes, self.addresses = processes, addresses
+        self.codes: list[int] = []
+        self.callers: list[tuple[str, int]] = []
+
+    async def ask(self, address: tuple[str, int], every: float) -> None:
+        name = len(self.callers)
+        self.callers.append(address)
+        number = 0
+        caller = Caller(*await asyncio.open_connection(*address))
+        while True:
+            number += 1
+            began = time.monotonic()
+            reply = await caller.call("stock", f"{name:08x}{number:08x}")
+            self.codes.append(reply.code)
+            await asyncio.sleep(max(0.0, began + every - time.monotonic()))
+
+
+@contextlib.asynccontextmanager
+async def proxies(count: int, servers: ManyServers, discovery: Watched) -> AsyncIterator[Proxies]:
+    """Started, ready and watching discovery, with the features of the deployment."""
+    features = (ROOT / "deploy" / "malabar.hcl").read_text()
+    known = servers.listing(1)
+    processes: list[asyncio.subprocess.Process] = []
+    addresses: list[tuple[str, int]] = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            for number in range(count):
+                listen = free_address()
+                raw = config(discovery.address, known, listen, contract=CONTRACT, balancers=count, me=number)
+                place = Path(folder) / str(number)
+                place.mkdir()
+                (place / "malabar.hcl").write_text(features)
+                processes.append(await start_program(raw, str(place), "-f", str(place / "malabar.hcl")))
+                host, _, port = listen.rpartition(":")
+                addresses.append((host, int(port)))
+            for address in addresses:
+                await until_ready(address)
+            while discovery.watches < count:
+                await asyncio.sleep(0.01)
+            yield Proxies(processes, addresses)
+        finally:
+            for process in processes:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
+
+
+def test_a_quarter_of_3200_servers_drains_in_time_at_a_small_share_of_a_core() -> None:
+    async def test() -> None:
+        servers, discovery = await ManyServers(SERVERS).start(), await Watched().start()
+        async with proxies(1, servers, discovery) as fleet:
+            with CpuShare(fleet.processes[0].pid, SHARE):
+                asking = [asyncio.create_task(fleet.ask(fleet.addresses[0], 0.05)) for _ in range(4)]
+                await asyncio.sleep(1.0)
+                drained = set(range(0, SERVERS, 4))
+                await discovery.tell(servers.drain(drained, 2))
+                await asyncio.sleep(2.0)
+                late = servers.calls_to(drained, discovery.told_at + GRACE)
+                for task in asking:
+                    task.cancel()
+        servers.stop()
+        assert not late, late[0].at - discovery.told_at
+        assert fleet.codes.count(200) > 20
+
+    run(test())
+
+
+def test_no_call_goes_to_a_drained_server_though_discovery_refuses_every_call() -> None:
+    """What was seen with report 83daec: the watches end with 503, servers begin to drain, each call to
+    discovery is refused after 2 s, and when the drain counts as known more clients come than before, so that
+    servers are used which had not been asked since."""
+
+    async def test() -> None:
+        servers, discovery = await ManyServers(SERVERS, WORK).start(), await Watched().start()
+        async with proxies(4, servers, discovery) as fleet:
+            asking = [asyncio.create_task(fleet.ask(address, 0.15)) for address in fleet.addresses]
+            await asyncio.sleep(0.5)
+            await discovery.crowd()
+            drained = set(range(0, SERVERS, 4))
+            begun = time.monotonic()
+            servers.drain(drained, 2)
+            await asyncio.sleep(TOLD_WITHIN + GRACE)
+            quiet = len(fleet.codes)
+            burst = [address for address in fleet.addresses for _ in range(CLIENTS)]
+            asking += [asyncio.create_task(fleet.ask(address, 0.15)) for address in burst]
+            await asyncio.sleep(3.0)
+            late = servers.calls_to(drained, begun + TOLD_WITHIN + GRACE)
+            for task in asking:
+                task.cancel()
+        servers.stop()
+        assert not late, (len(late), late[0].at - begun)
+        assert fleet.codes[quiet:].count(200) > 0.5 * len(fleet.codes[quiet:]) > CLIENTS
+
+    run(test())
