Read the start times of servers by the wall clock before and after a step

Cause: lists tell starts as wall time, and net/lists.py took the offset to the monotonic clock once. After a step of -3600 or -5 s a server that has just started looked warm (slow start broken), after +5 or +3600 s it looked cold for as long. Change: net/wallclock.py keeps the offsets seen; of the readings that do not lie ahead the latest is taken; the same told time stays the same start.

--- a/granitepoint/net/lists.py
+++ b/granitepoint/net/lists.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from hashlib import blake2b
@@ -11,11 +10,9 @@
 
 from granitepoint.interface import ServerEntry, ServerState
 from granitepoint.net.config import Address, address
+from granitepoint.net.wallclock import StartTimes
 
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
-# Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
-# of the wall clock would look like a restart of every backend.
-WALL_OFFSET = time.time() - time.monotonic()
 
 
 class Entry(msgspec.Struct, frozen=True, gc=False):
@@ -78,10 +75,8 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
-def listed(entry: Entry) -> Listed:
-    """The entry with its figures checked; raises ValueError."""
-    since = entry.since_ms or 0.0
-    started = max(since / 1000 - WALL_OFFSET, 1e-3) if since > 0 else 0.0
+def listed(entry: Entry, started: float) -> Listed:
+    """The entry with its figures checked; raises ValueError. `started`: s of the monotonic clock."""
     if not (entry.weight - entry.weight == 0.0 and started - started == 0.0):
         raise ValueError("malformed list: a figure is not finite")
     state = STATES.get(entry.status)
@@ -110,12 +105,13 @@
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
         self.known: dict[str, Listed] = {}
+        self.start_times = StartTimes()
 
     def take(self, answer: Answer) -> Listing:
         """What the answer changes; raises ValueError, and then nothing has changed."""
         first = not self.known
         changed = {
-            entry.name: (entry, listed(entry))
+            entry.name: (entry, listed(entry, self._started(entry)))
             for entry in answer.endpoints
             if self.entries.get(entry.name) != entry
         }
@@ -130,6 +126,14 @@
                 self.known.pop(told.name, None)
         return Listing(answer.index, answer.snapshot and first, found)
 
+    def _started(self, entry: Entry) -> float:
+        """The same told time is the same start in every list: else a step of the wall clock would look like
+        a restart."""
+        before = self.entries.get(entry.name)
+        if before is not None and before.since_ms == entry.since_ms:
+            return self.known[entry.name].entry.started_at
+        return self.start_times.monotonic(entry.since_ms) if entry.since_ms and entry.since_ms > 0 else 0.0
+
     def _missing(self, named: set[str]) -> Iterator[Listed]:
         """What a whole list does not name is gone."""
         for name, told in self.known.items():
--- /dev/null
+++ b/granitepoint/net/wallclock.py
@@ -0,0 +1,30 @@
+"""Times that others tell by the wall clock, on this process's monotonic one, though the wall clock may be
+stepped."""
+
+from __future__ import annotations
+
+import time
+
+STEP = 0.02  # s by which the wall clock has to move against the monotonic one to count as stepped
+MOST_STEPS = 8  # that are remembered
+
+
+class StartTimes:
+    """When servers started. A told time may be by the clock before a step or after it; of the readings that
+    do not lie ahead, the latest is taken: a server is then never thought warmer than it is."""
+
+    def __init__(self) -> None:
+        self.offsets = [time.time() - time.monotonic()]  # of the wall clock against the monotonic one, s
+
+    def monotonic(self, since_ms: float) -> float:
+        """Seconds of the monotonic clock, above 0, at a told Unix time in milliseconds."""
+        now = time.monotonic()
+        self._look(now)
+        readings = [since_ms / 1000 - offset for offset in self.offsets]
+        past = [reading for reading in readings if reading <= now + STEP]
+        return max(max(past, default=now), 1e-3)
+
+    def _look(self, now: float) -> None:
+        offset = time.time() - now
+        if all(abs(offset - known) > STEP for known in self.offsets):
+            self.offsets = [*self.offsets[-MOST_STEPS + 1 :], offset]
