Let aborted connections at the door neither hold up the loop nor end its queue

Cause: net/entrance.py _accept did not count an ECONNABORTED, so a series of them kept the loop in it; any other failed accept evicted a caller; close() gave up the queue at the first failure, which resets what waits behind it. Change: failures count as looks; only a lack of descriptors or memory evicts; close() goes on until the queue is empty or its time is over.

--- a/granitepoint/net/entrance.py
+++ b/granitepoint/net/entrance.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 import time
@@ -80,10 +79,11 @@
             except BlockingIOError:
                 break
             except OSError as fault:
-                if fault.errno != errno.ECONNABORTED:
+                if fault.errno in listener.HUNGER:
                     self._say(fault)
                     self.evict(1)
                     return self._rest(sock)
+                looked += 1  # it has failed before it was let in; others may wait behind it
                 continue
             looked += 1
             came = time.monotonic()
@@ -171,13 +171,15 @@
         for sock, certificates in self.listeners.items():
             if sock not in self.resting:
                 self.loop.remove_reader(sock)
-            try:
-                while time.monotonic() < end:
-                    if self.make_room():
-                        self._let_in(sock.accept()[0], certificates, time.monotonic())
-                    else:
-                        await asyncio.sleep(PAUSE / 4)
-            except OSError:  # the queue is empty, or can't be read
-                pass
+            while time.monotonic() < end:
+                if not self.make_room():
+                    await asyncio.sleep(PAUSE / 4)
+                    continue
+                try:
+                    self._let_in(sock.accept()[0], certificates, time.monotonic())
+                except BlockingIOError:  # the queue is empty
+                    break
+                except OSError:  # for a moment, or of one connection: what waits behind it is owed the same
+                    await asyncio.sleep(PAUSE / 4)
             sock.close()
         self.listeners = {}
