Read a configuration again that could not be read at SIGHUP

Cause: net/serve.py reconfigure read the file once; half written, or with a read that failed, the proxy stayed with the old address of discovery for good. Change: it is read again every 0.1 s for 3 s, since what the new address tells counts as known 4 s after the signal. Several moves in a row keep every watch before until the newest address has answered.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -172,7 +172,7 @@
         self.heard = asyncio.Event()  # has a list come
         self.moves = 0  # to other addresses; what began before the last one has no say in what follows
         self._watch: asyncio.Task[None] | None = None
-        self._left: asyncio.Task[None] | None = None  # the watch at the address before
+        self._left: list[asyncio.Task[None]] = []  # watches at addresses before
         self._fetches: set[asyncio.Task[None]] = set()
 
     def watch(self, on: bool) -> None:
@@ -185,10 +185,11 @@
     def move(self, at: Address) -> None:
         """Another address, whose versions may be others: the whole list is asked for there, at once. What the
         one before has told already counts, so its watch is read until the other address has answered."""
-        for task in (self._left, *self._fetches):
-            if task is not None:
-                task.cancel()
-        self._left, self._watch = self._watch, None
+        for task in self._fetches:
+            task.cancel()
+        if self._watch is not None:
+            self._left.append(self._watch)
+            self._watch = None
         self.at, self.version = at, None
         self.moves += 1
         self.watch(True)
@@ -199,7 +200,7 @@
         task.add_done_callback(self._fetches.discard)
 
     def stop(self) -> None:
-        for task in (self._watch, self._left, *self._fetches):
+        for task in (self._watch, *self._left, *self._fetches):
             if task is not None:
                 task.cancel()
 
@@ -280,9 +281,9 @@
             return None
         if call.moves == self.moves:
             self.version = answer.index
-            if self._left is not None:
-                self._left.cancel()
-                self._left = None
+            for task in self._left:
+                task.cancel()
+            self._left = []
         return listing
 
     def _failed(self, call: Call, fault: Exception) -> None:
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -41,21 +41,32 @@
 
 LAST_LINES = 0.5  # s for each target of figures or logs to take what is held at the end
 LOOK = 0.02  # s between looks whether a backend has said anything
+REREAD = 0.1  # s between tries to read a configuration that can't be used
+REREADS = 30  # of these: what discovery tells at a new address counts as known 4 s after the signal
 NEWS = 3.0  # s that a process which replaces another waits for discovery's list and a backend's first word
 
 log = logging.getLogger(__name__)
 
 
-def reconfigure(driver: Driver | Pools, running: list[asyncio.Task[None]]) -> None:
-    """A file that can't be used changes nothing: the proxy goes on as it is."""
-    try:
-        driver.discovery.move(discovery_now(os.environ))
-    except ConfigError as fault:
-        log.error("%s", fault)
+async def reconfigure(driver: Driver | Pools) -> None:
+    """A file that can't be read is read again for a while: it may be half written at the signal. If it stays
+    so, the proxy goes on as it is."""
+    for _ in range(REREADS):
+        try:
+            driver.discovery.move(discovery_now(os.environ))
+            break
+        except ConfigError as fault:
+            log.error("%s", fault)
+            await asyncio.sleep(REREAD)
     if not isinstance(driver, Driver):
-        task = asyncio.get_running_loop().create_task(driver.reload())
-        running.append(task)
-        task.add_done_callback(running.remove)
+        await driver.reload()
+
+
+def on_hangup(driver: Driver | Pools, running: list[asyncio.Task[None]]) -> None:
+    """SIGHUP: a new configuration."""
+    task = asyncio.get_running_loop().create_task(reconfigure(driver))
+    running.append(task)
+    task.add_done_callback(running.remove)
 
 
 def pools(settings: RoutesSettings, config: Config, capture: Capture | None) -> Pools:
@@ -129,7 +140,7 @@
     driver: Driver | Pools = (
         Driver(config, capture) if features.routes is None else pools(features.routes, config, capture)
     )
-    loop.add_signal_handler(signal.SIGHUP, reconfigure, driver, running)
+    loop.add_signal_handler(signal.SIGHUP, on_hangup, driver, running)
     life, ledger = Lifecycle(), driver.desk.ledger
     timing = timed(features, config)
     agent, router = joined(features, config, driver, timing)
