Try a connect again that failed on this machine, and blame no backend for it

Cause: net/upstream.py _connect reported EADDRNOTAVAIL, ENOBUFS, ENFILE, EMFILE, ENOMEM, ENETUNREACH as a backend that does not answer, which ejects it at once: a moment's lack here takes out every server. Change: it is tried again every 10 ms within the time of a connect; what still fails then never ran and is not learned of (ENETUNREACH is, since it may tell of the backend).

--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
 import time
@@ -28,9 +29,19 @@
 REFUSED_FOR = 5.0  # s after a refused connection in which connections are used without a rest
 FLUSH = 0.05  # s after its head for which an answer of unknown length is held, so that it may be tried again
 IDLE_SINCE = attrgetter("idle_since")
+# A connect that fails so has not left this machine: the backend is not at fault, and the next try may
+# succeed.
+LOCAL_FAULTS = frozenset((
+    errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENETUNREACH, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
+))  # fmt: skip
+CONNECT_AGAIN = 0.01  # s until it is tried again, within the time of a connect
 CHUNKED_BEGUN = -1  # stands for the length of an answer that tells none
 
 
+class LocalFaultError(Exception):
+    """This machine could make no connection in time."""
+
+
 class Connection(asyncio.BufferedProtocol):
     """One connection to a backend; carries one exchange at a time."""
 
@@ -392,13 +403,17 @@
         at, since = upstream.address, upstream.started_at
         try:
             async with asyncio.timeout(self.connect_timeout):
-                await self.loop.create_connection(lambda: connection, *at)
+                await self._connected(connection, at)
             if (at, since) != (upstream.address, upstream.started_at):
                 raise ConnectionError("the backend is another one by now")
             if connection.transport is None:
                 raise ConnectionError("lost as soon as made")
             upstream.connections.add(connection)
             exchange.run_on(connection)
+        except LocalFaultError as fault:
+            log.warning("backend %s: no connection could be made here: %s", at, fault)
+            connection.abandon()
+            exchange.end(Status.MOOT)
         except (OSError, TimeoutError):
             upstream.refused_at = time.monotonic()
             connection.abandon()
@@ -408,6 +423,24 @@
             connection.abandon()
             exchange.end(Status.RESET)
 
+    async def _connected(self, connection: Connection, at: Address) -> None:
+        """Raises OSError, LocalFaultError where this machine still could not when time ran out."""
+        local: OSError | None = None
+        try:
+            while True:
+                try:
+                    await self.loop.create_connection(lambda: connection, *at)
+                    return
+                except OSError as fault:
+                    if fault.errno not in LOCAL_FAULTS:
+                        raise
+                    local = fault
+                    await asyncio.sleep(CONNECT_AGAIN)
+        except asyncio.CancelledError:
+            if local is not None and local.errno != errno.ENETUNREACH:  # which may tell of the backend, too
+                raise LocalFaultError(str(local)) from None
+            raise
+
     def _spare_one(self) -> bool:
         """At the bound, the connection that is idle the longest makes room."""
         idle = [connection for upstream in self.with_idle for connection in upstream.idle[:1]]
