Withhold unproven servers no longer than a drain's grace and a connect make needful

Change: both follow from 6 s, the grace of drains and the time of a connect in the settings, and 0.2 s for a pause.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -105,10 +105,9 @@
 # longest still brings the news within the 6 s that a change may take and the grace of a drain.
 REFUSED_RETRY = (3.5, 6.4)  # s
 # A change counts as known 6 s after discovery had it, also where no call was answered. A server that took a
-# call has not begun to drain before that was sent, so it may be used for as long, less a connection that
-# comes up 1.5 s late and a pause of this process.
-NEWS_DUE = 5.5  # s without a word from discovery after which only such servers are used
-PROVEN_FOR = 4.5  # s after its sending that a call proves the server that took it
+# call has not begun to drain before that was sent, so it may be used for as long and the grace of a drain.
+TOLD_WITHIN = 6.0  # s
+HELD_UP = 0.2  # s that may pass between a decision and its first byte, beside a connect: a pause, and a step
 LONGEST_ASK = 4.0  # s that a call to discovery may take until it fails
 TICK_TOKEN, ASK_TOKEN = 1, 2
 HELD, CUT, LATE, SHORT, DISPLACED, TRIES = "held", "cut", "late", "queue", "displaced", "tries"  # verdicts
@@ -504,6 +503,8 @@
         self.known: dict[int, Server] = {}
         self.pool: list[Server] = []
         self.rings: dict[str, list[Server]] = {}  # serving servers by zone
+        # s for which what was known of a drain still holds: later a call might begin after its grace
+        self.sure_for = max(STEP, TOLD_WITHIN + settings.drain_grace - settings.connect_timeout - HELD_UP)
         self.overdue = False  # discovery has said nothing for so long that a drain may count as known
         self.mean_load = Mean(1.0)
         self.zone_load: dict[str, Mean] = {}  # reported calls for each unit of size
@@ -757,11 +758,10 @@
         """While news are overdue, servers that have not lately taken a call get none. Guards against sending
         to one whose drain counts as known. Harm: fewer servers carry the load of a proxy that asks in vain;
         where none has proven itself, all are used as before."""
-        unproven = [s for s in self.pool if self.overdue and s.proven_at < now - PROVEN_FOR]
-        if all(server in unproven or server.ejected_until for server in self.pool):
-            unproven = []
+        since = now - self.sure_for
+        proven = any(s.proven_at >= since and not s.ejected_until for s in self.pool)
         for server in self.pool:
-            server.withheld = server in unproven
+            server.withheld = self.overdue and proven and server.proven_at < since
 
     def eject(self, server: Server, now: float, hard: bool) -> bool:
         if server.ejected_until:
@@ -1164,7 +1164,7 @@
         admission.standing, admission.crowd = servers.standing(now, span)
         servers.idle_safe = min(self.settings.conn_idle, servers.idle_safe * (1 + span / IDLE_DOUBLES))
         self.recover_ejected()
-        servers.overdue = self.watch_fails > 0 and now > self.news_at + NEWS_DUE
+        servers.overdue = self.watch_fails > 0 and now > self.news_at + servers.sure_for
         servers.withhold(now)
         self.probe(span)
         admission.set_cut()
