Let an answered probe prove a server while news are overdue, and probe those withheld

Withheld ones are probed first, each once in 6 s. The stand-in of many servers answers probes as the protocol says.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -108,6 +108,7 @@
 # call has not begun to drain before that was sent, so it may be used for as long and the grace of a drain.
 TOLD_WITHIN = 6.0  # s
 HELD_UP = 0.2  # s that may pass between a decision and its first byte, beside a connect: a pause, and a step
+PROVE_IN = 6.0  # s in which each withheld server is probed once
 LONGEST_ASK = 4.0  # s that a call to discovery may take until it fails
 TICK_TOKEN, ASK_TOKEN = 1, 2
 HELD, CUT, LATE, SHORT, DISPLACED, TRIES = "held", "cut", "late", "queue", "displaced", "tries"  # verdicts
@@ -1130,6 +1131,7 @@
         server.probe_out = False
         if event.status == Status.OK:
             server.fail_streak = 0
+            server.proven_at = max(server.proven_at, self.now - event.elapsed)  # a draining one answers 503
             self.servers.report(server, event.report, self.now)
             if server.ejected_until and self.now >= server.ejected_until:
                 self.servers.readmit(server, self.now)
@@ -1237,12 +1239,15 @@
         if not self.settings.may_probe or not self.servers.pool:
             return
         rate = max(PROBES_LEAST, PROBES_PER_CALL * self.admission.rate)
+        if self.servers.overdue:
+            rate = max(rate, sum(server.withheld for server in self.servers.pool) / PROVE_IN)
         self.probe_tokens = max(self.probe_tokens, min(2.0, self.probe_tokens + rate * span))
         while self.probe_tokens >= 1 and not self.asks:
             idle = [s for s in self.servers.pool if not s.probe_out and not s.ejected_until]
             if not idle:
                 break
             self.probe_tokens -= 1
+            idle = [s for s in idle if s.withheld] or idle
             oldest = min(s.probed_at for s in idle)
             self.send_probe(self.random.choice([s for s in idle if s.probed_at == oldest]))
 
--- a/granitepoint/rig/nodes/many.py
+++ b/granitepoint/rig/nodes/many.py
@@ -74,8 +74,9 @@
         self.owner.arrived.append(Arrived(time.monotonic(), self.server, probe))
         if self.transport is None:
             return
-        if self.server in self.owner.draining and not probe:
-            self.transport.write(b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+        if self.server in self.owner.draining:
+            marked = b"" if probe else b"X-Rejected: 1\r\n"
+            self.transport.write(b"HTTP/1.1 503 X\r\n%bContent-Length: 0\r\n\r\n" % marked)
         elif probe:
             self._serve()
         else:
@@ -87,8 +88,8 @@
 
 
 class ManyServers:
-    """Servers that answer after some work; those that drain turn calls away. Keeps when what came to
-    which."""
+    """Servers that answer after some work; those that drain turn calls and probes away. Keeps when what
+    came to which."""
 
     def __init__(self, count: int, work: float = 0.0) -> None:
         """`work`: s that a call takes."""
--- a/tests/test_overdue_news.py
+++ b/tests/test_overdue_news.py
@@ -9,15 +9,15 @@
 
 from helpers import Driver, entries, only_send, sends, settings
 
-from granitepoint import ListKind, ServerList, Status
+from granitepoint import ListKind, Probe, Probed, ServerList, Status
 
 TOLD_WITHIN = 6.0  # s after which a change counts as told
 CALL = 0.05  # s that a call takes here
 
 
-def without_news(span: float, *servers: int) -> Driver:
+def without_news(span: float, *servers: int, may_probe: bool = False) -> Driver:
     """An instance whose calls to discovery were refused for this long; nothing was sent meanwhile."""
-    driver = Driver(settings(ask_for_list=True, may_probe=False), servers=entries(*servers))
+    driver = Driver(settings(ask_for_list=True, may_probe=may_probe), servers=entries(*servers))
     driver.wait(3.0)
     driver.feed(ServerList(ListKind.FULL, entries(*servers)))
     begun = driver.now
@@ -63,6 +63,20 @@
     assert refusing.server not in used(driver, 30, 12)
 
 
+def test_a_server_that_answers_a_probe_gets_calls_though_news_are_overdue() -> None:
+    driver = without_news(4.0, 1, 2, may_probe=True)
+    first = only_send(driver.arrive(1))
+    driver.now += CALL
+    driver.settle(first, Status.OK, elapsed=CALL)
+    other = 3 - first.server
+    driver.feed(Probed(1, Status.FULL, CALL), Probed(2, Status.FULL, CALL))  # what was asked before
+    assert Probe(other) in driver.wait(3.0)
+    assert used(driver, 10, 4) == {first.server}
+    driver.feed(Probed(other, Status.OK, CALL))
+    driver.wait(0.1)
+    assert other in used(driver, 20, 12)
+
+
 def test_where_no_server_has_proven_itself_all_get_calls() -> None:
     driver = without_news(12.0, 1, 2, 3)
     first = only_send(driver.arrive(1))
