--- a/granitepoint/cli/rig.py
+++ b/granitepoint/cli/rig.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from granitepoint.cli import simulate as simulating
+from granitepoint.cli import soak as soaking
 from granitepoint.cli.common import mendable, run_async, show_json
 from granitepoint.rig import scenario as scenarios
 from granitepoint.rig.errors import RigError
@@ -416,3 +417,4 @@
 
 rig.add_command(simulating.simulate)
 rig.add_command(simulating.outages)
+rig.add_command(soaking.soak)
--- a/granitepoint/rig/nodes/many.py
+++ b/granitepoint/rig/nodes/many.py
@@ -74,7 +74,7 @@
         self.owner.arrived.append(Arrived(time.monotonic(), self.server, probe))
         if self.transport is None:
             return
-        if self.server in self.owner.draining:
+        if self.owner.rejects and self.server in self.owner.draining:
             marked = b"" if probe else b"X-Rejected: 1\r\n"
             self.transport.write(b"HTTP/1.1 503 X\r\n%bContent-Length: 0\r\n\r\n" % marked)
         elif probe:
@@ -95,6 +95,7 @@
         """`work`: s that a call takes."""
         self.count, self.work = count, work
         self.draining: set[int] = set()
+        self.rejects = True  # whether those that drain turn away what comes
         self.arrived: list[Arrived] = []
         self.port = 0
         self._listener: asyncio.Server | None = None
