Hand on a list before a connection for the next call has to be made

Where an answer ended its connection, the next call was to be made over a new one before the list was handed on: up to 1 s late, and lost when the module asked anew meanwhile, since the list counted as taken. Change: net/discovery.py makes the next call first only where the connection stands; what was read is handed on in the loop's next turn whatever becomes of the watch. Measured: the test failed before (not taken), passes.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -98,6 +98,11 @@
         if self.answer is not None and not self.answer.done():
             self.answer.set_exception(fault)
 
+    @property
+    def up(self) -> bool:
+        """Whether a call goes out at once, over the connection that there is."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def close(self) -> None:
         self.answer = None  # nobody waits for it any more
         if self.transport is not None:
@@ -107,7 +112,7 @@
     async def begin(self, at: Address, target: str) -> asyncio.Future[tuple[int, bytes]]:
         """Writes a call, over a new connection if need be; the future is of its answer. Raises OSError."""
         loop = asyncio.get_running_loop()
-        if self.transport is None:
+        if not self.up:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await loop.create_connection(lambda: self, *at)
         if self.transport is None:
@@ -224,15 +229,17 @@
                     return
                 spent = time.monotonic() - call.begun_at
                 at_once = min(MOST_AT_ONCE, at_once + spent / LEAST_SPACING) - 1
-                call_before = call
-                if at_once >= 0:
-                    call = await self._begin(channel)
-                    await asyncio.sleep(0)  # the loop writes it now
-                    self._hand_on(listing, call_before, len(body))
-                else:
-                    self._hand_on(listing, call_before, len(body))
-                    await asyncio.sleep(LEAST_SPACING - spent)
+                told, size = call, len(body)
+                if at_once >= 0 and channel.up:
+                    # What was written is taken whatever becomes of this watch: in the loop's next turn, when
+                    # the call has been written.
+                    asyncio.get_running_loop().call_soon(self._hand_on, listing, told, size)
                     call = await self._begin(channel)
+                    continue
+                self._hand_on(listing, told, size)
+                if at_once < 0:
+                    await asyncio.sleep(max(0.0, LEAST_SPACING - spent))
+                call = await self._begin(channel)
         finally:
             channel.close()
 
--- a/tests/test_watch_continuity.py
+++ b/tests/test_watch_continuity.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 from netkit import PATIENCE, endpoint, listing, response, run
 
 from granitepoint.net.discovery import Discovery
@@ -131,3 +132,39 @@
         assert (taken, [target for _, target in new.calls]) == ([1], ["/v1/servers"])
 
     run(test())
+
+
+def test_a_list_is_taken_at_once_though_the_next_connection_is_slow_to_come_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The answer ended its connection. Nor is the list lost when the module asks anew meanwhile."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        connect, connects = loop.create_connection, 0
+
+        async def slow(*arguments: Any, **how: Any) -> Any:
+            nonlocal connects
+            connects += 1
+            if connects > 1:
+                await asyncio.sleep(PATIENCE)
+            return await connect(*arguments, **how)
+
+        def answer(connection: socket.socket, number: int) -> None:
+            body = json.dumps(listing(2, endpoint("s-1", "127.0.0.1:1", "Terminating"), snapshot=False))
+            connection.sendall(response(200, body.encode(), Connection="close"))
+
+        monkeypatch.setattr(loop, "create_connection", slow)
+        taken: list[int] = []
+        server = Server(answer)
+        discovery = Discovery(
+            server.address, 1, 10.0, lambda told: taken.append(len(told.backends)), lambda *failed: None
+        )
+        discovery.watch(True)
+        await until(lambda: connects > 1)
+        discovery.watch(True)
+        await until(lambda: bool(taken), within=0.5)
+        discovery.stop()
+        assert taken == [1]
+
+    run(test())
