--- a/granitepoint/rig/soak.py
+++ b/granitepoint/rig/soak.py
@@ -166,8 +166,8 @@
 class Soak:
     """One day at play."""
 
-    def __init__(self, day: Day, folder: Path, library: Path, harm: str) -> None:
-        self.day, self.folder, self.library, self.harm = day, folder, library, harm
+    def __init__(self, day: Day, folder: Path, preload: Path, harm: str) -> None:
+        self.day, self.folder, self.preload, self.harm = day, folder, preload, harm
         self.verdict = Verdict(day=day)
         self.servers = ManyServers(day.servers, day.work)
         self.servers.rejects = day.rejects
@@ -227,7 +227,7 @@
         (self.folder / "config.json").write_text(json.dumps(config), encoding="utf-8")
         (self.folder / "features.hcl").write_text(FEATURES, encoding="utf-8")
         environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-        environ |= shim.environ(self.library, self.day.seed, self.day.failing, 0.0, self.day.steps)
+        environ |= shim.environ(self.preload, self.day.seed, self.day.failing, 0.0, self.day.steps)
         environ["EDGE_CONFIG"] = str(self.folder / "config.json")
         program = ("granitepoint.rig.bad", self.harm) if self.harm else ("granitepoint",)
         command = (sys.executable, "-m", *program, "-f", str(self.folder / "features.hcl"))
