Log when discovery is asked again, and which servers are withheld, and why

Change: a line for each call that opens a connection, for the time of the next one after a failure, for a list that becomes overdue or is in time again, and for each server that is withheld or used again.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -25,6 +25,7 @@
     Fail,
     Gone,
     ListKind,
+    Log,
     Outcome,
     Probe,
     Probed,
@@ -700,14 +701,19 @@
         """Servers that get no calls for what was seen of them; may be asked from another thread."""
         return [server for server in list(self.known.values()) if server.ejected_until]
 
-    def withhold(self, now: float) -> None:
-        """While news are overdue, servers that have not lately taken a call get none. Guards against sending
+    def withhold(self, now: float) -> list[Server]:
+        """Returns the servers for which this has changed. While news are overdue, servers that have not lately taken a call get none. Guards against sending
         to one whose drain counts as known. Harm: fewer servers carry the load of a proxy that asks in vain;
         where none has proven itself, all are used as before."""
         since = now - self.sure_for
         proven = any(s.proven_at >= since and not s.ejected_until for s in self.pool)
+        changed: list[Server] = []
         for server in self.pool:
-            server.withheld = self.overdue and proven and server.proven_at < since
+            withheld = self.overdue and proven and server.proven_at < since
+            if withheld != server.withheld:
+                server.withheld = withheld
+                changed.append(server)
+        return changed
 
     def eject(self, server: Server, now: float, hard: bool) -> bool:
         if server.ejected_until:
@@ -817,7 +823,12 @@
     # events
     def on_list(self, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
-            self.freshness.failed(self.now, event.refused)
+            freshness = self.freshness
+            freshness.failed(self.now, event.refused)
+            self.log(
+                f"discovery asked again: in_s={freshness.watch_at - self.now:.3f} failures={freshness.fails} "
+                f"list_age_s={self.now - freshness.news_at:.3f}"
+            )
             return
         self.freshness.told(self.now, event.kind is not ListKind.SAVED)
         self.servers.take_list(event, self.now)
@@ -1094,8 +1105,7 @@
         admission.standing, admission.crowd = servers.standing(now, span)
         servers.idle_safe = min(self.settings.conn_idle, servers.idle_safe * (1 + span / IDLE_DOUBLES))
         self.recover_ejected()
-        servers.overdue = self.freshness.overdue(now)
-        servers.withhold(now)
+        self.check_list_age()
         self.probe(span)
         admission.set_cut()
 
@@ -1103,6 +1113,21 @@
         if self.freshness.asks(self.now):
             self.actions.append(Watch(True))
 
+    def check_list_age(self) -> None:
+        """Withholds servers while news are overdue, and logs each change of that."""
+        servers, now = self.servers, self.now
+        overdue = self.freshness.overdue(now)
+        if overdue != servers.overdue:
+            servers.overdue = overdue
+            age = now - self.freshness.news_at
+            self.log(f"list {'overdue' if overdue else 'in time again'}: age_s={age:.3f}")
+        for server in servers.withhold(now):
+            age = now - server.proven_at
+            self.log(f"server {server.id} withheld={server.withheld}: proven_s_ago={age:.3f}")
+
+    def log(self, text: str) -> None:
+        self.actions.append(Log(text))
+
     def watch_ages(self) -> None:
         """A hung server finishes nothing: the calls that are out tell by their age."""
         now = self.now
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -253,6 +253,8 @@
         return await self._write(channel, call)
 
     async def _write(self, channel: _Channel, call: Call) -> Call | None:
+        if not channel.up:
+            log.info("discovery: call begins: target=%s", call.target)
         try:
             call.answer = await channel.begin(self.at, call.target)
         except (OSError, TimeoutError) as fault:
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -15,6 +15,7 @@
 
 from granitepoint.limits.descriptors import AGENT_OWN
 from granitepoint.net import discovery, listener
+from granitepoint.net import driver as decisions
 from granitepoint.net import features as settings_file
 from granitepoint.net.access import AccessLog
 from granitepoint.net.addresses import Addresses
@@ -222,7 +223,8 @@
         if features:
             logs = Writer(to_descriptor(sys.stderr.fileno()), LOG_BYTES, "log")
             logging.basicConfig(handlers=[LogHandler(logs)], format=log_format)
-            logging.getLogger(discovery.__name__).setLevel(logging.INFO)  # a line for each list taken
+            for module in (discovery, decisions):  # calls for the list, lists taken, servers withheld
+                logging.getLogger(module.__name__).setLevel(logging.INFO)
         else:
             logging.basicConfig(stream=sys.stderr, format=log_format)
         asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(config, features))
