--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -702,9 +702,9 @@
         return [server for server in list(self.known.values()) if server.ejected_until]
 
     def withhold(self, now: float) -> list[Server]:
-        """Returns the servers for which this has changed. While news are overdue, servers that have not lately taken a call get none. Guards against sending
+        """While news are overdue, servers that have not lately taken a call get none. Guards against sending
         to one whose drain counts as known. Harm: fewer servers carry the load of a proxy that asks in vain;
-        where none has proven itself, all are used as before."""
+        where none has proven itself, all are used as before. Returns the servers for which this changes."""
         since = now - self.sure_for
         proven = any(s.proven_at >= since and not s.ejected_until for s in self.pool)
         changed: list[Server] = []
--- a/granitepoint/rig/nodes/many.py
+++ b/granitepoint/rig/nodes/many.py
@@ -74,7 +74,8 @@
         self.owner.arrived.append(Arrived(time.monotonic(), self.server, probe))
         if self.transport is None:
             return
-        if self.owner.rejects and self.server in self.owner.draining:
+        turns_away = not self.owner.healthy_draining if probe else self.owner.rejects
+        if turns_away and self.server in self.owner.draining:
             marked = b"" if probe else b"X-Rejected: 1\r\n"
             self.transport.write(b"HTTP/1.1 503 X\r\n%bContent-Length: 0\r\n\r\n" % marked)
         elif probe:
@@ -88,14 +89,15 @@
 
 
 class ManyServers:
-    """Servers that answer after some work; those that drain turn calls and probes away. Keeps when what
-    came to which."""
+    """Servers that answer after some work; those that drain turn calls and probes away, or probes alone, or
+    nothing. Keeps when what came to which."""
 
     def __init__(self, count: int, work: float = 0.0) -> None:
         """`work`: s that a call takes."""
         self.count, self.work = count, work
         self.draining: set[int] = set()
-        self.rejects = True  # whether those that drain turn away what comes
+        self.rejects = True  # whether those that drain turn calls away
+        self.healthy_draining = False  # whether those that drain answer probes as before
         self.arrived: list[Arrived] = []
         self.port = 0
         self._listener: asyncio.Server | None = None
--- a/granitepoint/rig/soak.py
+++ b/granitepoint/rig/soak.py
@@ -171,6 +171,7 @@
         self.verdict = Verdict(day=day)
         self.servers = ManyServers(day.servers, day.work)
         self.servers.rejects = day.rejects
+        self.servers.healthy_draining = not day.rejects
         self.drained: list[tuple[float, frozenset[int]]] = []
         self.port = free_port()
         self.begun = self.term_at = 0.0
--- a/tests/test_overdue_news.py
+++ b/tests/test_overdue_news.py
@@ -77,6 +77,16 @@
     assert other in used(driver, 20, 12)
 
 
+def test_a_server_that_fails_its_probes_gets_no_calls_though_it_answers_them() -> None:
+    """A server that drains may complete what it gets, as before; its health check tells (report 24bf6d)."""
+    driver = without_news(3.0, 1, 2, may_probe=True)
+    for call in range(0, 120, 4):
+        used(driver, call, 4)
+        driver.feed(Probed(1, Status.OK, CALL), Probed(2, Status.ERROR, CALL))
+        driver.wait(0.2)
+    assert used(driver, 200, 12) == {1}
+
+
 def test_where_no_server_has_proven_itself_all_get_calls() -> None:
     driver = without_news(12.0, 1, 2, 3)
     first = only_send(driver.arrive(1))
