Wait out a moment without sockets at the start of the process

Change: sockets of the start are opened by one function that waits up to 1 s while the system is out of descriptors, buffers or memory; the operators' listener uses it too.

--- a/granitepoint/net/admin.py
+++ b/granitepoint/net/admin.py
@@ -11,6 +11,8 @@
 import time
 
 from granitepoint.net.config import Address, ConfigError
+from granitepoint.net.listener import family_of
+from granitepoint.net.sockets import opened
 from granitepoint.operators.calls import Line, Operators
 
 log = logging.getLogger(__name__)
@@ -34,8 +36,10 @@
     """Binds at once, and raises ConfigError where it can't; answers once it is started."""
 
     def __init__(self, at: Address) -> None:
-        family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
-        self.listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        try:
+            self.listener = opened(family_of(at[0]), socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        except OSError as fault:
+            raise ConfigError(f"no socket for admin_addr {at[0]}:{at[1]}: {fault.strerror}") from None
         try:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.listener.bind(at)
--- a/granitepoint/net/entrance.py
+++ b/granitepoint/net/entrance.py
@@ -14,6 +14,7 @@
 from granitepoint.limits.room import SERVED, Press, late
 from granitepoint.net import listener
 from granitepoint.net.peer import Certificates, Door, Peer, TurnedAway, told_address
+from granitepoint.net.sockets import OUT_OF_RESOURCES
 from granitepoint.net.tls import reason
 
 log = logging.getLogger(__name__)
@@ -79,7 +80,7 @@
             except BlockingIOError:
                 break
             except OSError as fault:
-                if fault.errno in listener.HUNGER:
+                if fault.errno in OUT_OF_RESOURCES:
                     self._say(fault)
                     self.evict(1)
                     return self._rest(sock)
--- a/granitepoint/net/listener.py
+++ b/granitepoint/net/listener.py
@@ -10,6 +10,8 @@
 import struct
 import sys
 
+from granitepoint.net.sockets import opened
+
 log = logging.getLogger(__name__)
 
 BACKLOG = 4096
@@ -19,7 +21,6 @@
 LAST_SENT, LAST_SENT_AT = struct.Struct("I"), 44  # linux/tcp.h, struct tcp_info: tcpi_last_data_sent, ms
 RECEIVED, RECEIVED_AT = struct.Struct("Q"), 128  # tcpi_bytes_received
 TOLD = RECEIVED_AT + RECEIVED.size
-HUNGER = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 def family_of(host: str) -> socket.AddressFamily:
@@ -30,7 +31,7 @@
     """Whether some process listens there: an older one of this proxy. It is not disturbed by the look."""
     if not port:
         return False
-    with socket.socket(family_of(host), socket.SOCK_STREAM) as look:
+    with opened(family_of(host), socket.SOCK_STREAM) as look:
         look.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             look.bind((host, port))
@@ -41,7 +42,7 @@
 
 def listen(host: str, port: int) -> socket.socket:
     """Raises OSError. An address that a process of another kind holds is in use as ever."""
-    sock = socket.socket(family_of(host), socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+    sock = opened(family_of(host), socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         with contextlib.suppress(OSError):  # where there is no such thing, the process can't be replaced
--- a/granitepoint/net/sockets.py
+++ b/granitepoint/net/sockets.py
@@ -2,18 +2,36 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import select
 import socket
 import struct
 import termios
+import time
 
 LAST_RECEIVED, LAST_RECEIVED_AT = struct.Struct("I"), 52  # struct tcp_info: tcpi_last_data_recv, ms
 LAST_RECEIVED_END = LAST_RECEIVED_AT + LAST_RECEIVED.size
 UNSENT = struct.Struct("i")  # what TIOCOUTQ tells: bytes that were not sent or not acknowledged
+OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+OPEN_PAUSE = 0.01  # s between tries to open a socket
+OPEN_TRIES = 100
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+def opened(family: socket.AddressFamily, kind: int) -> socket.socket:
+    """A socket, for the start of the process: it waits (blocking, up to OPEN_TRIES times OPEN_PAUSE seconds)
+    while the system is out of what it needs, which passes (socket(2)). Raises OSError."""
+    for _ in range(OPEN_TRIES - 1):
+        try:
+            return socket.socket(family, kind)
+        except OSError as fault:
+            if fault.errno not in OUT_OF_RESOURCES:
+                raise
+        time.sleep(OPEN_PAUSE)
+    return socket.socket(family, kind)
+
+
 def _events(fileno: int) -> int:
     poller = select.poll()
     poller.register(fileno, select.POLLIN | select.POLLRDHUP)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import select
 import socket
+from typing import Any
 
 import pytest
 from netkit import free_port
 
-from granitepoint.net import listener
+from granitepoint.net import listener, sockets
 
 COUNT = 60
 
@@ -78,3 +80,38 @@
         assert listener.taken("127.0.0.1", port)
         assert listener.waiting(sock) == []
     assert not listener.taken("127.0.0.1", port)
+
+
+class Scarce(socket.socket):
+    """A socket that the system refuses to open for the first few times."""
+
+    refusals = 0
+    reason = errno.EMFILE
+
+    def __init__(self, *how: Any, **named: Any) -> None:
+        if Scarce.refusals:
+            Scarce.refusals -= 1
+            raise OSError(Scarce.reason, "refused")
+        super().__init__(*how, **named)
+
+
+@pytest.mark.parametrize("reason", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_a_start_goes_on_when_the_system_refuses_a_socket_for_a_moment(
+    reason: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Seen on a day of the soak: one socket(2) failed with EMFILE, and the process ended with code 1."""
+    port = free_port()
+    monkeypatch.setattr(Scarce, "reason", reason)
+    monkeypatch.setattr(socket, "socket", Scarce)
+    Scarce.refusals = 5
+    assert not listener.taken("127.0.0.1", port)
+    Scarce.refusals = 5
+    listener.listen("127.0.0.1", port).close()
+
+
+def test_a_start_that_gets_no_socket_at_all_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sockets, "OPEN_PAUSE", 0.0)
+    monkeypatch.setattr(Scarce, "refusals", 10**6)
+    monkeypatch.setattr(socket, "socket", Scarce)
+    with pytest.raises(OSError, match="refused"):
+        listener.listen("127.0.0.1", 1)
