Hold a pool's list no longer than the one it begins with, and ask faster while it holds

A fleet that calls all at once left turns of discovery unused for up to 2 s. Change: such a pool continues how old the list is; until the list lapses a call refused at once is repeated within 1 s, after that within 2 s.

--- a/granitepoint/freshness.py
+++ b/granitepoint/freshness.py
@@ -21,9 +21,11 @@
 REFUSED_RETRY = (3.5, 6.4)  # s
 # The pause after a call that was refused at once, doubled at each failure in a row. Such a call has cost
 # discovery no turn, and where all instances ask at once most of the time in which news count as known goes
-# by until each has had its turn: a longer pause would leave turns unused.
+# by until each has had its turn: a longer pause would leave turns unused. Once the list has lapsed there is
+# less to win by haste.
 CROWDED_RETRY = 0.25  # s
-CROWDED_RETRY_MOST = 2.0  # s
+CROWDED_RETRY_MOST = 1.0  # s
+LAPSED_RETRY_MOST = 2.0  # s
 FIRST_SPREAD = 2.0  # s over which first calls are spread: all instances may start at once
 TOLD_WITHIN = 6.0  # s after which a change counts as known, also where no call was answered
 MOVED_TOLD_WITHIN = 4.0  # s after which what discovery has to tell at a new address counts as known
@@ -76,7 +78,8 @@
         self.last_failure = failure
         doublings = min(self.fails, MOST_DOUBLINGS)
         if failure is CallFailure.REFUSED_AT_ONCE and self.crowds:
-            self.watch_at = now + self._drawn(CROWDED_RETRY * 2**doublings, CROWDED_RETRY_MOST)
+            most = CROWDED_RETRY_MOST if now < self.lapses_at else LAPSED_RETRY_MOST
+            self.watch_at = now + self._drawn(CROWDED_RETRY * 2**doublings, most)
             return
         self.watch_at = now + self._drawn(WATCH_RETRY * 2**doublings, WATCH_RETRY_MOST)
         if failure is CallFailure.REFUSED and self.crowds and self.fails > 1:
@@ -86,6 +89,11 @@
         """A pause of half the longest up to the longest, `most` at the most."""
         return min(longest, most) * (0.5 + 0.5 * self.random.random())
 
+    def continues(self, other: Freshness) -> None:
+        """Takes over how old the list is from an instance that has followed the same discovery so far."""
+        self.fails, self.last_failure = other.fails, other.last_failure
+        self.news_at, self.moved_at = other.news_at, other.moved_at
+
     def asks(self, now: float) -> bool:
         """Whether it is time for a watch; it is taken to be opened then."""
         if self.watching or now < self.watch_at:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -190,6 +190,10 @@
         """A new configuration may name another address of discovery."""
         self._push(api.ServerList(api.ListKind.MOVED))
 
+    def follows(self, other: Driver) -> None:
+        """Where this one begins with the list of one that has served until now: it is as old here as there."""
+        self.balancer.freshness.continues(other.balancer.freshness)
+
     def listed(self, entries: list[api.ServerEntry], version: int, kind: api.ListKind, current: bool) -> None:
         """The members of this pool, where someone else asks discovery. `current`: as discovery told them just
         now."""
--- a/granitepoint/net/routes.py
+++ b/granitepoint/net/routes.py
@@ -203,6 +203,8 @@
         for one in begun:
             self._tell(one, api.ListKind.SAVED)
             one.driver.start()
+            for other in old.served.values():
+                one.driver.follows(other.driver)
         return Generation(self.made, table, served, looked_at, epoch)
 
     def _use(self, new: Generation, beside: Sequence[Generation] = ()) -> None:
