--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -191,7 +191,7 @@
         self._push(api.ServerList(api.ListKind.MOVED))
 
     def follows(self, other: Driver) -> None:
-        """Where this one begins with the list of one that has served until now: it is as old here as there."""
+        """This one begins with the list of one that has served until now: it is as old here as there."""
         self.balancer.freshness.continues(other.balancer.freshness)
 
     def listed(self, entries: list[api.ServerEntry], version: int, kind: api.ListKind, current: bool) -> None:
