Count as news only what discovery tells at the address that is in force

Change: what comes from the address that is left is taken and is no news; after a move the list lapses also where no call has failed yet.

--- a/granitepoint/freshness.py
+++ b/granitepoint/freshness.py
@@ -108,13 +108,18 @@
         moved_lapses_at = self.moved_at + MOVED_TOLD_WITHIN - TOLD_WITHIN + self.sure_for
         return min(self.news_at + self.sure_for, moved_lapses_at)
 
+    @property
+    def followed(self) -> bool:
+        """Whether a watch is open, as far as is known; one that falls silent fails before the list lapses."""
+        return not self.fails and math.isinf(self.moved_at)
+
     def doubtful(self, now: float) -> bool:
-        """Whether no news may come before the list lapses: calls fail, and half of its time is over."""
-        return self.fails > 0 and now > self.lapses_at - self.sure_for / 2
+        """Whether the list may lapse before news come: it is not followed, and half of its time is over."""
+        return not self.followed and now > self.lapses_at - self.sure_for / 2
 
     def overdue(self, now: float) -> bool:
-        """Whether a drain may count as known that is not: calls fail, and nothing was heard for too long."""
-        return self.fails > 0 and now > self.lapses_at
+        """Whether a drain may count as known that is not: nothing was heard for too long."""
+        return not self.followed and now > self.lapses_at
 
     @property
     def reachable(self) -> bool:
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -175,6 +175,7 @@
         self.on_list, self.on_failed = on_list, on_failed
         self.inventory = inventory or Inventory()
         self.heard = asyncio.Event()  # has a list come
+        self.leaving = False  # a new configuration is being read: what comes meanwhile is no news any more
         self.moves = 0  # to other addresses; what began before the last one has no say in what follows
         self._watch: asyncio.Task[None] | None = None
         self._left: list[asyncio.Task[None]] = []  # watches at addresses before
@@ -290,7 +291,7 @@
         except ValueError as fault:
             self._failed(call, fault)
             return None
-        listing.current = call.moves == self.moves
+        listing.current = call.moves == self.moves and not self.leaving
         if call.moves == self.moves:
             self.version = answer.index
             for task in self._left:
--- a/granitepoint/net/serve.py
+++ b/granitepoint/net/serve.py
@@ -52,20 +52,24 @@
 async def reconfigure(driver: Driver | Pools) -> None:
     """A file that can't be read is read again for a while: it may be half written at the signal. If it stays
     so, the proxy goes on as it is."""
-    for _ in range(REREADS):
-        try:
-            driver.discovery.move(discovery_now(os.environ))
-            break
-        except ConfigError as fault:
-            log.error("%s", fault)
-            await asyncio.sleep(REREAD)
+    driver.discovery_moved()
+    driver.discovery.leaving = True
+    try:
+        for _ in range(REREADS):
+            try:
+                driver.discovery.move(discovery_now(os.environ))
+                break
+            except ConfigError as fault:
+                log.error("%s", fault)
+                await asyncio.sleep(REREAD)
+    finally:
+        driver.discovery.leaving = False
     if not isinstance(driver, Driver):
         await driver.reload()
 
 
 def on_hangup(driver: Driver | Pools, running: list[asyncio.Task[None]]) -> None:
     """SIGHUP: a new configuration."""
-    driver.discovery_moved()
     task = asyncio.get_running_loop().create_task(reconfigure(driver))
     running.append(task)
     task.add_done_callback(running.remove)
--- a/granitepoint/rig/soak.py
+++ b/granitepoint/rig/soak.py
@@ -41,6 +41,7 @@
 GRACE = 0.55  # s of a drain, with the slack of sockets
 HELD_UP = 0.15  # s for which a process may stand still between its clock and a write
 PATIENCE = 2.0  # s that a call to discovery waits until it is refused
+FELL_SILENT = 1.0  # s before a drain at which watches fall silent, where they do
 READY_WITHIN = 10.0  # s
 RULES = ("ready", "crash", "lost", "late", "drain")
 
@@ -59,7 +60,9 @@
     drains: tuple[float, ...]  # when a tenth of the servers begins to drain
     hangups: tuple[float, ...]  # SIGHUP
     term: float
-    rejects: bool = True  # whether servers that drain turn away what comes
+    rejects: bool = True  # whether servers that drain turn calls away
+    refused_after: float = PATIENCE  # s that a call to discovery waits until it is refused
+    silences: tuple[float, ...] = ()  # when the watches that are open fall silent
 
 
 class Breach(msgspec.Struct, frozen=True):
@@ -98,6 +101,14 @@
         hangups=tuple(sorted(draws.uniform(2.0, LIFE - 4) for _ in range(draws.randint(0, 3)))),
         term=LIFE - KILL_AFTER,
     )
+    # Drawn last, so that what a seed gave before stays as it was.
+    silent = draws.random() < 0.5
+    day = msgspec.structs.replace(
+        day,
+        rejects=draws.random() < 0.5,
+        refused_after=draws.choice((PATIENCE, 1.0, 0.0)),
+        silences=tuple(max(0.5, at - FELL_SILENT * draws.random()) for at in day.drains if silent),
+    )
     return msgspec.structs.replace(day, servers=servers) if servers else day
 
 
@@ -109,6 +120,8 @@
         self.version = 1
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.news = asyncio.Event()
+        self.silent = 0  # connections up to this one get no answer any more
+        self.connections = 0
         self.address = ""
         self._listeners: list[asyncio.Server] = []
 
@@ -130,16 +143,25 @@
         news, self.news = self.news, asyncio.Event()
         news.set()
 
+    def fall_silent(self) -> None:
+        """The connections that there are get no answer any more, and stay open."""
+        self.silent = self.connections
+
     @property
     def refuses(self) -> bool:
         begin, end = self.day.refused
         return begin <= time.monotonic() - self.begun < end
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 code, body = await self._answer(head.split(b" ")[1].decode())
+                if number <= self.silent:
+                    await reader.read()  # until the proxy gives it up
+                    break
                 length = len(body)
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (code, length) + body)
                 await writer.drain()
@@ -147,7 +169,7 @@
 
     async def _answer(self, target: str) -> tuple[int, bytes]:
         if self.refuses:
-            await asyncio.sleep(PATIENCE)
+            await asyncio.sleep(self.day.refused_after)
             return 503, b""
         query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
         if "from" not in query:
@@ -171,7 +193,7 @@
         self.verdict = Verdict(day=day)
         self.servers = ManyServers(day.servers, day.work)
         self.servers.rejects = day.rejects
-        self.servers.healthy_draining = not day.rejects
+        self.servers.healthy_draining = bool(harm) and not day.rejects  # a harm alone is to be found
         self.drained: list[tuple[float, frozenset[int]]] = []
         self.port = free_port()
         self.begun = self.term_at = 0.0
@@ -200,6 +222,7 @@
                 tasks = [asyncio.create_task(self._client(number)) for number in range(self.day.clients)]
                 tasks.append(asyncio.create_task(self._drains(discovery)))
                 tasks.append(asyncio.create_task(self._hangups(child, discovery, config)))
+                tasks.append(asyncio.create_task(self._silences(discovery)))
                 await self._sleep_until(self.day.term)
                 if child.returncode is not None:
                     self._broke("crash", f"exit code {child.returncode}")
@@ -262,6 +285,11 @@
             self.drained.append((time.monotonic(), chosen))
             discovery.change(self.servers.drain(set(chosen), discovery.version + 1))
 
+    async def _silences(self, discovery: Discovery) -> None:
+        for at in self.day.silences:
+            await self._sleep_until(at)
+            discovery.fall_silent()
+
     async def _hangups(
         self, child: asyncio.subprocess.Process, discovery: Discovery, config: dict[str, Any]
     ) -> None:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -58,6 +58,12 @@
     assert lapses_after(made) > 3.0 + TOLD_WITHIN
 
 
+def test_a_whole_list_that_comes_too_slowly_after_a_move_holds_nothing_up() -> None:
+    made = freshness()
+    made.moved(BEGIN)
+    assert MOVED_TOLD_WITHIN < lapses_after(made) < MOVED_TOLD_WITHIN + DRAIN_GRACE - CONNECT
+
+
 def test_one_that_begins_with_the_list_of_another_holds_it_no_longer() -> None:
     old, new = freshness(), freshness()
     old.failed(BEGIN + 2.0, CallFailure.REFUSED_AT_ONCE)
--- a/tests/test_watch_continuity.py
+++ b/tests/test_watch_continuity.py
@@ -118,10 +118,11 @@
                 connection.sendall(list_of(2, 1, "Terminating", snapshot=False))
 
         old, new = Server(last_word), Server(lambda connection, number: None)
-        taken: list[int] = []
+        taken: list[tuple[int, bool]] = []
         discovery = Discovery(
-            old.address, 1, 10.0, lambda told: taken.append(len(told.backends)), lambda *failed: None
-        )
+            old.address, 1, 10.0, lambda told: taken.append((len(told.backends), told.current)),
+            lambda *failed: None,
+        )  # fmt: skip
         discovery.watch(True)
         await until(lambda: bool(old.calls))
         discovery.move(new.address)
@@ -129,7 +130,8 @@
         moved.set()
         await until(lambda: bool(taken), within=1.0)
         discovery.stop()
-        assert (taken, [target for _, target in new.calls]) == ([1], ["/v1/servers"])
+        # It is taken, and is no news: what the new address has to tell counts as known all the same.
+        assert (taken, [target for _, target in new.calls]) == ([(1, False)], ["/v1/servers"])
 
     run(test())
 
