--- /dev/null
+++ b/granitepoint/obligations.py
@@ -0,0 +1,206 @@
+"""Calls and their attempts, and the one gate for every send and every final answer. Pure; part of the
+decisions.
+
+Seconds throughout.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from granitepoint.interface import NEVER_RAN, Action, Effect, Fail, Refuse, Send, ServerState, Settings
+from granitepoint.tunables import STEP
+
+if TYPE_CHECKING:
+    from granitepoint.admission import Kind
+    from granitepoint.servers import Server
+
+CALLS_REMEMBERED = 1000  # calls that are over whose ids are still known
+
+
+class Attempt:
+    """One attempt of a call at a server."""
+
+    __slots__ = (
+        "call",
+        "counted",
+        "idle",
+        "late",
+        "load",
+        "number",
+        "opened",
+        "rescued",
+        "sent_at",
+        "server",
+        "status",
+    )
+
+    def __init__(self, call: Call, number: int, server: Server, sent_at: float, load: float) -> None:
+        self.call, self.number, self.server, self.sent_at, self.load = call, number, server, sent_at, load
+        self.status = -1  # still out
+        self.counted = True  # takes a place in W
+        self.late = False  # has been counted as late
+        self.idle = 0.0  # s that the connection had not been used; 0: in use or new
+        self.opened = False  # the connection was new
+        self.rescued = False
+
+
+class Call:
+    """A client's call, from its arrival to its final answer, with its attempts."""
+
+    __slots__ = (
+        "arrived",
+        "asked",
+        "asked_until",
+        "attempts",
+        "cls",
+        "deadline",
+        "ended",
+        "id",
+        "most",
+        "order",
+        "out",
+        "place",
+        "queued",
+        "streaming",
+        "useful_until",
+        "worth",
+    )
+
+    def __init__(
+        self, id: int, cls: Kind, worth: float, arrived: float, deadline: float, useful: float
+    ) -> None:
+        self.id, self.cls, self.worth, self.arrived = id, cls, worth, arrived
+        self.deadline, self.useful_until = deadline, useful
+        self.order = (-worth, arrived, id)
+        self.attempts: list[Attempt] = []
+        self.most = 0  # attempts that its route allows; 0: the settings'
+        self.out = 0
+        self.ended = self.streaming = self.queued = False
+        self.place: int | None = None  # in the queue, when last held
+        self.asked: list[Server] | None = None  # servers probed for this call alone
+        self.asked_until = 0.0
+
+    def __lt__(self, other: Call) -> bool:
+        return self.order < other.order
+
+
+class Obligations:
+    """The one gate for every send and every final answer. Whatever the heuristics want, the rules hold."""
+
+    def __init__(self, settings: Settings, actions: list[Action]) -> None:
+        self.settings = settings
+        self.actions = actions
+        self.calls: dict[int, Call] = {}
+        self.over: dict[int, None] = {}  # ids of the last calls that are over: no news
+
+    @staticmethod
+    def may_have_run(call: Call) -> Attempt | None:
+        """The earliest attempt that ran, may have run or may still run."""
+        for attempt in call.attempts:
+            if attempt.status not in NEVER_RAN:
+                return attempt
+        return None
+
+    def may_send(self, call: Call, server: Server, now: float) -> bool:
+        settings = self.settings
+        if call.ended or call.streaming or now >= call.deadline or server.state is not ServerState.SERVING:
+            return False
+        if not call.attempts:
+            return True
+        if self.spent(call) or (call.out and not settings.may_duplicate):
+            return False
+        first = self.may_have_run(call)
+        if first is None or call.cls.effect is Effect.REPEATABLE:
+            return True
+        if call.cls.effect is Effect.ONCE:
+            return False
+        return self.same_group(call.cls, first.server, server) and now - first.sent_at < call.cls.window
+
+    def spent(self, call: Call) -> bool:
+        """Whether the settings, or the call's route, allow no further attempt. A route counts those that may
+        have run; what was turned away unseen is none of its concern."""
+        if len(call.attempts) >= self.settings.max_attempts:
+            return True
+        return call.most > 0 and call.most <= sum(a.status not in NEVER_RAN for a in call.attempts)
+
+    @staticmethod
+    def same_group(cls: Kind, one: Server, other: Server) -> bool:
+        if cls.group == "all":
+            return True
+        if cls.group == "zone":
+            return one.zone == other.zone
+        return one.zone == other.zone and one.cell == other.cell
+
+    def may_refuse(self, call: Call) -> bool:
+        effect = call.cls.effect
+        if effect is Effect.REPEATABLE or (effect is Effect.BY_KEY and call.cls.group == "all"):
+            return True
+        return self.may_have_run(call) is None
+
+    def may_repeat(self, call: Call) -> bool:
+        """Whether some further attempt could still be allowed."""
+        if call.ended or call.streaming or self.spent(call):
+            return False
+        return call.cls.effect is not Effect.ONCE or self.may_have_run(call) is None
+
+    def send(self, call: Call, server: Server, now: float, timeout: float, load: float) -> Attempt | None:
+        if not self.may_send(call, server, now):
+            return None
+        timeout = max(STEP / 10, min(timeout, call.deadline - now))
+        self.actions.append(Send(call.id, server.id, timeout, self.start_within(call, now)))
+        attempt = Attempt(call, len(call.attempts), server, now, load)
+        call.attempts.append(attempt)
+        call.out += 1
+        return attempt
+
+    def start_within(self, call: Call, now: float) -> float:
+        """How long a further attempt may take to begin (seconds): a connection may be slow to come up."""
+        first = self.may_have_run(call)
+        if first is None or call.cls.effect is not Effect.BY_KEY:
+            return math.inf
+        return first.sent_at + call.cls.window - now
+
+    def answer(self, call: Call, retry_after: float = 0.0) -> None:
+        """The final answer: a refusal where it may be said that a further try is harmless, else a failure."""
+        if call.ended:
+            return
+        if self.may_refuse(call):
+            self.actions.append(Refuse(call.id, retry_after))
+        else:
+            self.actions.append(Fail(call.id))
+        self.end(call)
+
+    def turn_away(self, id: int) -> None:
+        """The one answer to what cannot be a call: its class is unknown or its time is over."""
+        self.actions.append(Refuse(id))
+        self.remember(id)
+
+    def remember(self, id: int) -> None:
+        self.over[id] = None
+        if len(self.over) > CALLS_REMEMBERED:
+            del self.over[next(iter(self.over))]
+
+    def end(self, call: Call) -> None:
+        call.ended = True
+        self.forget(call)
+
+    def settle(self, attempt: Attempt, status: int, final: bool) -> None:
+        call = attempt.call
+        if attempt.status < 0:
+            call.out -= 1
+        attempt.status = status
+        if final:
+            call.ended = True
+        self.forget(call)
+
+    def forget(self, call: Call) -> None:
+        if call.ended and not call.out:
+            self.calls.pop(call.id, None)
+            self.remember(call.id)
+
+
+def tries(call: Call) -> list[tuple[int, float]]:
+    """How a call's attempts stand, and when they were sent."""
+    return [(attempt.status, attempt.sent_at) for attempt in call.attempts]
--- a/granitepoint/replay.py
+++ b/granitepoint/replay.py
@@ -14,26 +14,16 @@
 from random import Random
 from typing import Any
 
+from granitepoint.admission import Admission, Mean
 from granitepoint.benchlink import read_settings
 from granitepoint.interface import Arrival, ServerEntry, Settings
-from granitepoint.logic import (
-    CUT,
-    HELD,
-    LATE,
-    TRIES,
-    USED_OF_SERVER,
-    Admission,
-    Attempt,
-    Balancer,
-    Call,
-    Mean,
-    Server,
-    Servers,
-)
+from granitepoint.logic import CUT, HELD, LATE, TRIES, Balancer
 from granitepoint.net.capture import VERSION
 from granitepoint.net.config import flatten
 from granitepoint.net.lists import STATES, server_id
 from granitepoint.net.reports import read_report
+from granitepoint.obligations import Attempt, Call
+from granitepoint.servers import USED_OF_SERVER, Server, Servers
 
 PLAIN = re.compile(r"[\w.:-]+", re.ASCII)
 UNDRAWN = 0.5  # for a draw that the changed inputs need and the recorded ones did not
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -30,12 +30,12 @@
 from granitepoint import Arrival, Balancer, Gone, ListKind, Outcome, Probe, Probed, Send, ServerList, Status
 from granitepoint.benchlink import read_settings
 from granitepoint.interface import Event
-from granitepoint.logic import Servers
 from granitepoint.net.capture import Capture, CaptureSettings
 from granitepoint.net.config import Config, flatten
 from granitepoint.net.lists import read_listing, server_id
 from granitepoint.net.request import Request
 from granitepoint.replay import Unusable, differences, replay
+from granitepoint.servers import Servers
 
 TENANTS = [{"name": "hill-routes", "quota_rps": 20.0, "portion": 0.5}]
 NAMES = [f"s-{number:08x}" for number in range(1, 7)]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -26,7 +26,7 @@
     Tenant,
     Watch,
 )
-from granitepoint.logic import Admission, Kind
+from granitepoint.admission import Admission, Kind
 
 
 def admission(window: float, latency: float, rate: float, worths: list[float], stage: int = 0) -> Admission:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,4 @@
-"""The limits that the decision module keeps: an auditor reads it once a year and bills by the page."""
+"""The limits that the decision modules keep, so that a reader can take each of them in."""
 
 from __future__ import annotations
 
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -23,7 +23,9 @@
     Timer,
     Watch,
 )
-from granitepoint.logic import Call, Kind, Obligations, Server
+from granitepoint.admission import Kind
+from granitepoint.obligations import Call, Obligations
+from granitepoint.servers import Server
 
 NEVER = [Status.FULL, Status.CONNECT_FAILED, Status.MOOT]
 MAYBE = [Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED]
