Wait longer for discovery after a call that it did not answer

Change: after one that was not answered the next such calls have 4 s, until one is answered. Measured: the test with a discovery that takes 3 s passes; it waits for news that never come without this.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -25,6 +25,7 @@
 FIRST_HOLD = 0.05  # s that a call waits which opens a watch: until it is answered, nothing is known
 CONNECT_TIMEOUT = 1.0  # s
 WHOLE_TIMEOUT = 2.1  # s for a call to get its turn: discovery may take 2 s before it refuses one
+PATIENT_TIMEOUT = 4.0  # s for it after one that was not answered: discovery may be slow
 AT_ONCE = 0.3  # s within which a refusal has cost discovery no turn
 LONGEST_READ = 3.0  # s beyond its time that an answer may take whose parts go on coming
 LEAST_SPACING = 0.05  # s between calls on average, should discovery answer each at once
@@ -131,9 +132,10 @@
 class Call:
     """One call to discovery that is out: what it asks for, and by when it is to be answered."""
 
-    def __init__(self, target: str, timeout: float, moves: int) -> None:
-        """`timeout`: s; `moves`: how often discovery had moved when it began."""
-        self.target, self.timeout, self.moves = target, timeout, moves
+    def __init__(self, target: str, timeout: float, moves: int, goes_on: bool = False) -> None:
+        """`timeout`: s; `moves`: how often discovery had moved when it began; `goes_on`: it is of a watch
+        that goes on, so that it waits for no turn."""
+        self.target, self.timeout, self.moves, self.goes_on = target, timeout, moves, goes_on
         self.begun_at = time.monotonic()
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None
 
@@ -175,6 +177,7 @@
         self.on_list, self.on_failed = on_list, on_failed
         self.inventory = inventory or Inventory()
         self.heard = asyncio.Event()  # has a list come
+        self.turn_timeout = WHOLE_TIMEOUT
         self.leaving = False  # a new configuration is being read: what comes meanwhile is no news any more
         self.moves = 0  # to other addresses; what began before the last one has no say in what follows
         self._watch: asyncio.Task[None] | None = None
@@ -247,12 +250,12 @@
     async def _begin(self, channel: _Channel) -> Call | None:
         """The next call of a watch; where no list is known, for the whole one, which waits for nothing."""
         if self.version is None:
-            call = Call(LIST_PATH, WHOLE_TIMEOUT, self.moves)
+            call = Call(LIST_PATH, self.turn_timeout, self.moves)
         else:
             hold = min(self.hold, MOST_HOLD if channel.up else FIRST_HOLD)
-            timeout = ANSWER_TIMEOUT if channel.up else WHOLE_TIMEOUT
+            timeout = ANSWER_TIMEOUT if channel.up else self.turn_timeout
             target = f"{LIST_PATH}?from={self.version}&hold_ms={int(hold * 1000)}"
-            call = Call(target, hold + timeout, self.moves)
+            call = Call(target, hold + timeout, self.moves, goes_on=channel.up)
         return await self._write(channel, call)
 
     async def _write(self, channel: _Channel, call: Call) -> Call | None:
@@ -293,6 +296,7 @@
             return None
         listing.current = call.moves == self.moves and not self.leaving
         if call.moves == self.moves:
+            self.turn_timeout = WHOLE_TIMEOUT
             self.version = answer.index
             for task in self._left:
                 task.cancel()
@@ -306,6 +310,8 @@
             str(fault) or type(fault).__name__,
         )  # fmt: skip
         if call.moves == self.moves:
+            if isinstance(fault, TimeoutError) and not call.goes_on:
+                self.turn_timeout = PATIENT_TIMEOUT
             self.on_failed(self._kind(call, fault))
 
     @staticmethod
--- a/tests/test_watch_continuity.py
+++ b/tests/test_watch_continuity.py
@@ -119,6 +119,26 @@
     run(test())
 
 
+def test_a_discovery_that_takes_seconds_for_each_call_is_heard() -> None:
+    async def test() -> None:
+        def answer(connection: socket.socket, number: int) -> None:
+            time.sleep(3.0)
+            connection.sendall(list_of(2, 1))
+
+        server = Server(answer)
+        taken: list[Listing] = []
+        failed = asyncio.Event()
+        discovery = Discovery(server.address, 1, 10.0, taken.append, lambda *how: failed.set())
+        discovery.watch(True)
+        async with asyncio.timeout(PATIENCE):
+            await failed.wait()
+        discovery.watch(True)
+        await until(lambda: bool(taken))
+        discovery.stop()
+
+    run(test())
+
+
 def test_what_the_old_address_still_tells_is_taken_when_discovery_moves() -> None:
     async def test() -> None:
         moved = threading.Event()
