Find a proxy that accepts nobody any more, and one that trusts an old list, in the soak

Change: a look at a new connection each 0.25 s through the whole life (rule ready); two harms in rig/bad.py, each found in a test. A proxy whose loop hangs breaks that rule too, so its test names both.

--- a/granitepoint/rig/bad.py
+++ b/granitepoint/rig/bad.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import os
+import socket
 import sys
 import time
 from collections import deque
@@ -16,12 +17,15 @@
 from random import Random
 from typing import Any
 
+from granitepoint import freshness
 from granitepoint.interface import ServerState, Status
-from granitepoint.net import lists
+from granitepoint.net import listener, lists
 from granitepoint.net.client import ClientConnection
 from granitepoint.net.driver import Driver
+from granitepoint.net.entrance import Entrance
 from granitepoint.net.request import Request
 from granitepoint.net.routes import Pools
+from granitepoint.servers import Servers
 
 CRASH_AFTER = 20.0  # s
 SLOWER = 0.03  # s
@@ -144,6 +148,44 @@
     lists.STATES["Terminating"] = ServerState.SERVING
 
 
+def deaf() -> None:
+    """Lets nobody in any more once the system has failed to accept a connection."""
+    real = Entrance._accept
+    failed = False
+
+    class Watched(socket.socket):
+        """The listener, which notes that accepting has failed."""
+
+        def accept(self) -> tuple[socket.socket, Any]:
+            nonlocal failed
+            try:
+                return super().accept()
+            except BlockingIOError:
+                raise
+            except OSError:
+                failed = True
+                raise
+
+    def listen(host: str, port: int) -> socket.socket:
+        return Watched(fileno=plain_listen(host, port).detach())
+
+    def accept(self: Entrance, sock: socket.socket) -> None:
+        if failed:
+            self.loop.remove_reader(sock)
+        else:
+            real(self, sock)
+
+    plain_listen = listener.listen
+    listener.listen = listen
+    Entrance._accept = accept  # type: ignore[method-assign]
+
+
+def trusts() -> None:
+    """Takes a completed call as proof that its server does not drain, and repeats refused calls late."""
+    Servers.serving_at = lambda self, server: server.took_at  # type: ignore[method-assign]
+    freshness.CROWDED_RETRY = freshness.CROWDED_RETRY_MOST = freshness.LAPSED_RETRY_MOST = 12.0
+
+
 def clock(rate: float) -> None:
     """The clock by which holding is proven runs at another pace."""
     from granitepoint.control import clock as clocks
@@ -188,6 +230,8 @@
     "fast clock": lambda: clock(1.05),
     "retries": lambda: retries(0.5),
     "drains": drains,
+    "deaf": deaf,
+    "trusts": trusts,
     "stalls": stalls,
     "slow clock": lambda: clock(0.9),
     "compiles 30 s": lambda: compiles(30.0),
--- a/granitepoint/rig/soak.py
+++ b/granitepoint/rig/soak.py
@@ -43,6 +43,8 @@
 PATIENCE = 2.0  # s that a call to discovery waits until it is refused
 FELL_SILENT = 1.0  # s before a drain at which watches fall silent, where they do
 READY_WITHIN = 10.0  # s
+LOOK_EVERY = 0.25  # s between looks whether a new connection is answered
+DEAF_FOR = 2.0  # s without one that is, from which on nobody listens
 RULES = ("ready", "crash", "lost", "late", "drain")
 
 
@@ -223,6 +225,7 @@
                 tasks.append(asyncio.create_task(self._drains(discovery)))
                 tasks.append(asyncio.create_task(self._hangups(child, discovery, config)))
                 tasks.append(asyncio.create_task(self._silences(discovery)))
+                tasks.append(asyncio.create_task(self._listens()))
                 await self._sleep_until(self.day.term)
                 if child.returncode is not None:
                     self._broke("crash", f"exit code {child.returncode}")
@@ -258,17 +261,33 @@
         log = self.folder / "log"
         return await process.start(*command, environ=environ, log=log, descriptors=512, piped=False)
 
+    async def _healthy(self) -> bool:
+        """Whether a new connection is answered that the proxy is ready."""
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                line = await reader.readuntil(b"\r\n")
+                writer.close()
+                return b" 200 " in line
+        return False
+
+    async def _listens(self) -> None:
+        """Looks through the whole life, up to SIGTERM, whether new connections are answered."""
+        answered_at = time.monotonic()
+        while not self.term_at:
+            if await self._healthy():
+                answered_at = time.monotonic()
+            elif time.monotonic() > answered_at + DEAF_FOR and not self.term_at:
+                self._broke("ready", f"no new connection was answered for {DEAF_FOR:g} s")
+                return
+            await asyncio.sleep(LOOK_EVERY)
+
     async def _ready(self, child: asyncio.subprocess.Process) -> bool:
         due = time.monotonic() + READY_WITHIN
         while time.monotonic() < due and child.returncode is None:
-            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-                async with asyncio.timeout(1.0):
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                    writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                    line = await reader.readuntil(b"\r\n")
-                    writer.close()
-                    if b" 200 " in line:
-                        return True
+            if await self._healthy():
+                return True
             await asyncio.sleep(0.02)
         self._broke("ready", f"not ready in {READY_WITHIN:g} s, exit code {child.returncode}")
         return False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,9 +31,33 @@
     run(test())
 
 
+@pytest.mark.parametrize(("harm", "broken"), [("none", set()), ("trusts", {"drain"})])
+def test_the_judge_finds_a_proxy_that_uses_an_old_list(harm: str, broken: set[str], tmp_path: Path) -> None:
+    """The watch falls silent, a server drains and completes what it gets, each call is refused at once."""
+
+    async def test() -> None:
+        day = msgspec.structs.replace(
+            soak.drawn(1, servers=8), rejects=False, share=0.8, failing=0.0, clients=10, work=0.1,
+            drains=(2.5,), silences=(2.0,), refused=(2.5, 6.0), refused_after=0.0, hangups=(),
+        )  # fmt: skip
+        found = await soak.play(day, tmp_path, harm)
+        assert {breach.rule for breach in found.breaches} == broken, found.breaches
+
+    run(test())
+
+
+def test_the_judge_finds_a_proxy_that_accepts_nobody_any_more(tmp_path: Path) -> None:
+    async def test() -> None:
+        day = msgspec.structs.replace(soak.drawn(1, servers=8), failing=0.05, hangups=())
+        found = await soak.play(day, tmp_path, "deaf")
+        assert "ready" in {breach.rule for breach in found.breaches}, found.breaches
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("harm", "rule"),
-    [("none", ""), ("drains", "drain"), ("exits", "ready"), ("never", "ready"), ("hangs", "lost")],
+    [("none", ""), ("drains", "drain"), ("exits", "ready"), ("never", "ready"), ("hangs", "lost ready")],
 )
 def test_the_judge_finds_a_proxy_that_does_harm(harm: str, rule: str, tmp_path: Path) -> None:
     async def test() -> None:
@@ -41,6 +65,6 @@
         drawn = soak.drawn(1, servers=8)
         day = msgspec.structs.replace(drawn, rejects=False, refused=(0.0, 0.0), drains=(1.5,))
         found = await soak.play(day, tmp_path, harm)
-        assert {breach.rule for breach in found.breaches} == ({rule} if rule else set()), found.breaches
+        assert {breach.rule for breach in found.breaches} == set(rule.split()), found.breaches
 
     run(test())
