--- a/tests/proxykit.py
+++ b/tests/proxykit.py
@@ -4,26 +4,70 @@
 
 import asyncio
 import contextlib
+import json
 import tempfile
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, Self
 
-from netkit import PATIENCE, ROOT, Caller, config, free_address, start_program, until_ready
+from netkit import (
+    PATIENCE,
+    ROOT,
+    Caller,
+    config,
+    free_address,
+    listing,
+    response,
+    start_program,
+    until_ready,
+)
 
 from granitepoint.rig.nodes.many import ManyServers
 
 
-class Watched(Protocol):
-    """A stand-in for discovery."""
+class WatchedDiscovery:
+    """A stand-in for discovery whose watches wait for a change, of which there is one at a time."""
 
-    address: str
+    def __init__(self) -> None:
+        self.version = 1
+        self.change = b""
+        self.changed = asyncio.Condition()
+        self.watches = 0  # calls that wait
+        self.told_at = 0.0  # when the latest change was told to the last of them
+        self.address = ""
 
-    @property
-    def watches(self) -> int:
-        """Calls that wait for news."""
-        ...
+    async def start(self) -> Self:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answers the calls of one connection."""
+        raise NotImplementedError
+
+    async def watch(self, target: str, ends: Callable[[], bool] = lambda: False) -> bytes:
+        """The answer to a call that asks for changes, once there are any, its wait is over or `ends`."""
+        query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
+        version, hold = int(query["from"]), int(query["hold_ms"]) / 1000
+        self.watches += 1
+        try:
+            async with asyncio.timeout(hold), self.changed:
+                await self.changed.wait_for(lambda: self.version > version or ends())
+        except TimeoutError:
+            return response(200, json.dumps(listing(version, snapshot=False)).encode())
+        finally:
+            self.watches -= 1
+        if not ends():
+            self.told_at = time.monotonic()
+        return response(200, self.change)
+
+    async def tell(self, change: dict[str, object]) -> None:
+        async with self.changed:
+            self.version += 1
+            self.change = json.dumps(change).encode()
+            self.changed.notify_all()
 
 
 class Proxies:
@@ -49,7 +93,7 @@
 
 @contextlib.asynccontextmanager
 async def proxies(
-    count: int, servers: ManyServers, discovery: Watched, **changes: Any
+    count: int, servers: ManyServers, discovery: WatchedDiscovery, **changes: Any
 ) -> AsyncIterator[Proxies]:
     """Started, ready and watching discovery, with the features of the deployment. `changes`: of settings."""
     features = (ROOT / "deploy" / "malabar.hcl").read_text()
--- a/tests/test_many_servers.py
+++ b/tests/test_many_servers.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import contextlib
-import json
 import time
 
-from netkit import SETTINGS, listing, read_message, response, run
-from proxykit import proxies
+from netkit import SETTINGS, read_message, response, run
+from proxykit import WatchedDiscovery, proxies
 
 from granitepoint.rig.nodes.many import ManyServers
 from granitepoint.rig.share import CpuShare
@@ -24,26 +23,14 @@
 CONTRACT = {**SETTINGS["contract"], "drain_grace": 0.5}
 
 
-class Watched:
-    """Discovery that tells its watches each change, refuses every call while it is `crowded`, and then ends
-    the watches that it has."""
+class CrowdedDiscovery(WatchedDiscovery):
+    """Refuses every call while it is `crowded`, and then ends the watches that it has."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.crowded = False
-        self.version = 1
-        self.changed = asyncio.Condition()
-        self.change = b""
-        self.watches = 0
-        self.address = ""
-        self.told_at = 0.0
-
-    async def start(self) -> Watched:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-        return self
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 line, _, _ = await read_message(reader)
@@ -55,26 +42,8 @@
         if self.crowded:
             await asyncio.sleep(PATIENCE)
             return response(503)
-        query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
-        version, hold = int(query["from"]), int(query["hold_ms"]) / 1000
-        self.watches += 1
-        try:
-            async with asyncio.timeout(hold), self.changed:
-                await self.changed.wait_for(lambda: self.version > version or self.crowded)
-        except TimeoutError:
-            return response(200, json.dumps(listing(version, snapshot=False)).encode())
-        finally:
-            self.watches -= 1
-        if self.crowded:
-            return response(503)
-        self.told_at = time.monotonic()
-        return response(200, self.change)
-
-    async def tell(self, change: dict[str, object]) -> None:
-        async with self.changed:
-            self.version += 1
-            self.change = json.dumps(change).encode()
-            self.changed.notify_all()
+        answer = await self.watch(target, lambda: self.crowded)
+        return response(503) if self.crowded else answer
 
     async def crowd(self) -> None:
         async with self.changed:
@@ -84,7 +53,7 @@
 
 def test_a_quarter_of_3200_servers_drains_in_time_at_a_small_share_of_a_core() -> None:
     async def test() -> None:
-        servers, discovery = await ManyServers(SERVERS).start(), await Watched().start()
+        servers, discovery = await ManyServers(SERVERS).start(), await CrowdedDiscovery().start()
         async with proxies(1, servers, discovery, contract=CONTRACT) as fleet:
             with CpuShare(fleet.processes[0].pid, SHARE):
                 asking = [asyncio.create_task(fleet.ask(fleet.addresses[0], 0.05)) for _ in range(4)]
@@ -108,7 +77,7 @@
     servers are used which had not been asked since."""
 
     async def test() -> None:
-        servers, discovery = await ManyServers(SERVERS, WORK).start(), await Watched().start()
+        servers, discovery = await ManyServers(SERVERS, WORK).start(), await CrowdedDiscovery().start()
         async with proxies(4, servers, discovery, contract=CONTRACT) as fleet:
             asking = [asyncio.create_task(fleet.ask(address, 0.15)) for address in fleet.addresses]
             await asyncio.sleep(0.5)
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -13,13 +13,12 @@
 
 import asyncio
 import contextlib
-import json
 import time
 from typing import Any
 
 import pytest
-from netkit import SETTINGS, listing, read_message, response, run
-from proxykit import proxies
+from netkit import SETTINGS, read_message, response, run
+from proxykit import WatchedDiscovery, proxies
 
 from granitepoint.rig.nodes.many import ManyServers
 
@@ -38,27 +37,17 @@
 WITHOUT_PROBES = {**SETTINGS["policy_limits"], "probes": False}
 
 
-class LimitedDiscovery:
+class LimitedDiscovery(WatchedDiscovery):
     """Answers first calls one after another and refuses those that would wait too long. Watches can fall
     silent, and all first calls can be refused for a time."""
 
     def __init__(self) -> None:
-        self.version = 1
-        self.change = b""
-        self.changed = asyncio.Condition()
+        super().__init__()
         self.generation = 0  # of connections; those of an earlier one are silent
         self.busy_until = self.refuse_until = 0.0
-        self.watches = 0
         self.refused = 0
-        self.address = ""
 
-    async def start(self) -> LimitedDiscovery:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
-        return self
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         generation = self.generation
         answered_at = -1.0
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -78,17 +67,7 @@
         if not goes_on and not await self._turn():
             self.refused += 1
             return response(503)
-        query = dict(part.split("=") for part in target.partition("?")[2].split("&") if part)
-        version, hold = int(query["from"]), int(query["hold_ms"]) / 1000
-        self.watches += 1
-        try:
-            async with asyncio.timeout(hold), self.changed:
-                await self.changed.wait_for(lambda: self.version > version)
-        except TimeoutError:
-            return response(200, json.dumps(listing(version, snapshot=False)).encode())
-        finally:
-            self.watches -= 1
-        return response(200, self.change)
+        return await self.watch(target)
 
     async def _turn(self) -> bool:
         """Waits for a first call's turn; False: it is refused."""
@@ -100,12 +79,6 @@
         await asyncio.sleep(self.busy_until - now)
         return True
 
-    async def tell(self, change: dict[str, object]) -> None:
-        async with self.changed:
-            self.version += 1
-            self.change = json.dumps(change).encode()
-            self.changed.notify_all()
-
     def fall_silent(self) -> None:
         """Nothing is answered any more on the connections that there are."""
         self.generation += 1
