Leave the endpoint list as old as its last update when a call to discovery fails

Callers: a request could go to a server up to 2.5 s after its drain counted as known (rule drain), where discovery's answer came in drips and was given up.

Cause: EndpointFreshness.on_failure dated the list 2.5 s before the failure of a call, however long ago the call had begun; one in drips fails after 5 s. An age taken from the end of a call.

Fix: the event says for how long changes may have been missed. Only the simulator adapter, whose subscription is silent while nothing changes, sets it (2.5 s as before). A real proxy gets an update with each answer, empty or not, so nothing is guessed there.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -165,7 +165,7 @@
         """Apply an endpoint list, a failed poll or a change of discovery's address."""
         if event.kind is ListKind.FAILED:
             freshness = self.freshness
-            freshness.on_failure(self.now, event.failure)
+            freshness.on_failure(self.now, event.failure, event.missed_for)
             self.log(
                 f"discovery asked again: in_s={freshness.next_poll_at - self.now:.3f} "
                 f"reason={event.failure.value!r} failures={freshness.consecutive_failures} "
--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -25,7 +25,6 @@
 CHANGE_KNOWN_AFTER_S = 6.0  # a change counts as known by then, even if no call was answered
 CHANGE_KNOWN_AFTER_MOVE_S = 4.0  # the same, after discovery got a new address
 MAX_PROCESSING_DELAY_S = 0.2  # from a decision to its first byte, without the connect
-MAX_POLL_DURATION_S = 2.5  # a call to discovery fails by then
 MIN_VALIDITY_S = 0.05
 
 
@@ -70,11 +69,15 @@
         """Record that discovery has a new address; updates from the old one no longer count."""
         self.address_changed_at = now
 
-    def on_failure(self, now: float, failure: DiscoveryFailure) -> None:
-        """Process a failed call to discovery and schedule the next poll with backoff."""
+    def on_failure(self, now: float, failure: DiscoveryFailure, missed_for: float = math.inf) -> None:
+        """Process a failed call to discovery and schedule the next poll with backoff.
+
+        `missed_for`: seconds for which a watch may have missed changes before it failed; infinite where only
+        the updates tell until when it was followed.
+        """
         self.watching = False
-        if not self.consecutive_failures:  # the watch may have been silent since it opened
-            self.current_as_of = max(self.current_as_of, now - MAX_POLL_DURATION_S)
+        if not self.consecutive_failures:
+            self.current_as_of = max(self.current_as_of, now - missed_for)
         self.consecutive_failures += 1
         self.last_failure = failure
         doublings = min(self.consecutive_failures, MAX_DOUBLINGS)
--- a/gladegw/simulator_adapter.py
+++ b/gladegw/simulator_adapter.py
@@ -31,6 +31,8 @@
 }
 
 
+# A subscription tells nothing while nothing changes; one that has dropped is reported within this time.
+MAX_POLL_DURATION_S = 2.5
 REPORT_NAMES = ("busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps")
 WEIGHTS = {"off": "none", "nominal": "nominal", "rough": "rough", "live": "live"}
 PRIORITY_WEIGHT_BY = {"work": "work", "request": "request"}
@@ -486,7 +488,8 @@
             version = _optional_int(fields, "stamp", 0)
             # A failed poll has waited too long, or discovery is down: both count as rejected after a wait.
             failure = api.DiscoveryFailure.REJECTED
-            self.pending.setdefault(who, []).append(api.ServerList(kind, entries, version, failure))
+            update = api.ServerList(kind, entries, version, failure, missed_for=MAX_POLL_DURATION_S)
+            self.pending.setdefault(who, []).append(update)
 
     def flush(self, who: str) -> None:
         """Let an instance handle its events; an exception is reported as a `fatal` line."""
