Date an endpoint list by the first byte of its answer, not by the last

Cause: EndpointFreshness.on_update took the list to be as fresh as its last byte; Discovery waits up to 5 s for an answer that goes on arriving.

Evidence: the three new tests fail with the two lines put back (age 0.0 where at least 1.5 s have passed; a request sent by a list past its time).

Fix: the channel notes when an answer's first bytes arrived; the list carries that time to the balancer, also through the pools of routes.

--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -57,13 +57,17 @@
         """Schedule the first poll at a random time, because all instances may start at once."""
         self.next_poll_at = now + self.random.random() * min(INITIAL_POLL_SPREAD_S, max_poll_gap / 4)
 
-    def on_update(self, now: float, by_discovery: bool) -> None:
-        """Process a list or a confirmation without changes; `by_discovery` is false for a cached list."""
+    def on_update(self, now: float, by_discovery: bool, age: float = 0.0) -> None:
+        """Process a list or a confirmation without changes.
+
+        `by_discovery` is false for a cached list. `age`: seconds since discovery began to answer; what has
+        changed since then is not in the answer.
+        """
         if by_discovery:
             self.consecutive_failures = 0
             self.polled_at = now
             self.address_changed_at = math.inf
-        self.current_as_of = now
+        self.current_as_of = max(self.current_as_of, now - age)
 
     def on_address_change(self, now: float) -> None:
         """Record that discovery has a new address; updates from the old one no longer count."""
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -259,6 +259,7 @@
     version: int = 0
     failure: DiscoveryFailure = DiscoveryFailure.UNANSWERED  # of a failed poll
     current: bool = True  # False: from a former address of discovery, or repeated
+    age: float = 0.0  # seconds since discovery began to answer
     missed_for: float = math.inf  # seconds for which a failed watch may have missed changes; inf: see updates
 
 
--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -54,6 +54,7 @@
         self.framed = False  # the response headers delimit its body
         self.until_close = False  # its body ends with the connection
         self.last_received_at = 0.0  # when bytes last arrived
+        self.answer_began_at = 0.0  # when the first bytes of the last answer arrived
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
@@ -78,6 +79,7 @@
     # parser callbacks
     def on_message_begin(self) -> None:
         self.framed = False
+        self.answer_began_at = self.last_received_at
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.framed = self.framed or name.lower() in (b"content-length", b"transfer-encoding")
@@ -255,7 +257,7 @@
                 body = await self._answered(channel, call)
                 if body is None:
                     return
-                listing = self._read(body, call)
+                listing = self._read(body, call, channel)
                 if listing is None:
                     return
                 if moves != self.moves:  # discovery has moved: this was the last word from here
@@ -305,7 +307,7 @@
         try:
             call = await self._write(channel, DiscoveryCall(LIST_PATH, FULL_LIST_TIMEOUT_S, self.moves))
             body = await self._answered(channel, call) if call is not None else None
-            listing = self._read(body, call) if call is not None and body is not None else None
+            listing = self._read(body, call, channel) if call is not None and body is not None else None
             if call is not None and body is not None and listing is not None:
                 self._deliver(listing, call, len(body))
         finally:
@@ -319,7 +321,7 @@
             self._failed(call, fault)
             return None
 
-    def _read(self, body: bytes, call: DiscoveryCall) -> Listing | None:
+    def _read(self, body: bytes, call: DiscoveryCall, channel: _Channel) -> Listing | None:
         """Decode and apply a response; None if it is malformed.
 
         The next call continues from its version.
@@ -331,6 +333,7 @@
             self._failed(call, fault)
             return None
         listing.current = call.moves == self.moves and not self.address_changing
+        listing.as_of = channel.answer_began_at
         if call.moves == self.moves:
             self.turn_timeout = FULL_LIST_TIMEOUT_S
             self.version = answer.index
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -190,7 +190,7 @@
     def _server_list(listing: Listing, kind: api.ListKind) -> api.ServerList:
         """The balancer's event for a list."""
         entries = [listed.entry for listed in listing.backends]
-        return api.ServerList(kind, entries, listing.version, current=listing.current)
+        return api.ServerList(kind, entries, listing.version, current=listing.current, age=listing.age)
 
     def _on_list(self, listing: Listing) -> None:
         """Apply a list from discovery."""
@@ -213,13 +213,18 @@
         self.balancer.freshness.inherit(other.balancer.freshness)
 
     def on_pool_members(
-        self, entries: list[api.ServerEntry], version: int, kind: api.ListKind, current: bool
+        self,
+        entries: list[api.ServerEntry],
+        version: int,
+        kind: api.ListKind,
+        current: bool,
+        age: float = 0.0,
     ) -> None:
         """Update the members of this pool, where another object calls discovery.
 
-        `current`: the list was just received from discovery.
+        `current`: the list was just received from discovery, which began to answer `age` seconds ago.
         """
-        self._push(api.ServerList(kind, entries, version, current=current))
+        self._push(api.ServerList(kind, entries, version, current=current, age=age))
 
     # downstream side
     def ready(self) -> bool:
--- a/gladegw/net/endpoint_lists.py
+++ b/gladegw/net/endpoint_lists.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from hashlib import blake2b
@@ -57,6 +59,12 @@
     complete: bool
     backends: list[ListedBackend]
     current: bool = True  # False: from a previous address of discovery
+    as_of: float = math.inf  # monotonic time at which discovery began to answer; inf: now
+
+    @property
+    def age(self) -> float:
+        """Seconds since discovery began to answer."""
+        return max(0.0, time.monotonic() - self.as_of)
 
 
 _decoder: msgspec.json.Decoder[ListResponse] = msgspec.json.Decoder(ListResponse, strict=False)
--- a/gladegw/net/routes.py
+++ b/gladegw/net/routes.py
@@ -401,7 +401,8 @@
         entries = [self.backends[name].entry for name in sorted(one.members.names)]
         if listing is not None or entries != one.notified_members:
             one.notified_members = entries
-            one.driver.on_pool_members(entries, self.version, kind, listing is not None and listing.current)
+            current, age = (listing.current, listing.age) if listing is not None else (False, 0.0)
+            one.driver.on_pool_members(entries, self.version, kind, current, age)
 
     def _ejected(self, driver: Driver) -> frozenset[str]:
         """Backends that the pool's balancer has ejected."""
--- a/tests/balancing/test_endpoint_freshness.py
+++ b/tests/balancing/test_endpoint_freshness.py
@@ -177,3 +177,20 @@
     made = freshness()
     made.on_failure(BEGIN + 5.0, DiscoveryFailure.UNANSWERED)
     assert lapses_after(made) < TOLD_WITHIN + DRAIN_GRACE - CONNECT
+
+
+def test_an_answer_that_came_over_seconds_is_no_younger_than_its_first_byte() -> None:
+    """Guards against a drain missed by a list written before it, that took seconds to arrive."""
+    driver = Driver(settings(polls_endpoints=True, may_probe=False), servers=entries(1, 2))
+    driver.wait(3.0)
+    driver.feed(ServerList(ListKind.FULL, entries(1, 2), age=3.0))
+    driver.feed(ServerList(ListKind.FAILED, failure=DiscoveryFailure.REJECTED_IMMEDIATELY))
+    driver.wait(TOLD_WITHIN - 3.0 + DRAIN_GRACE)
+    assert not sends(driver.arrive(1))
+
+
+def test_a_cached_list_read_late_does_not_make_an_update_older() -> None:
+    made = freshness()
+    made.on_update(BEGIN + 1.0, by_discovery=True, age=3.0)
+    made.on_failure(BEGIN + 2.0, DiscoveryFailure.UNANSWERED)
+    assert lapses_after(made) > TOLD_WITHIN
--- a/tests/net/test_watch_continuity.py
+++ b/tests/net/test_watch_continuity.py
@@ -119,6 +119,35 @@
     run(test())
 
 
+@pytest.mark.parametrize("watched", [True, False])
+def test_a_list_that_comes_in_parts_is_as_old_as_its_first_byte(watched: bool) -> None:
+    """Guards against a change missed by an answer that was written before it and took seconds to arrive."""
+    written_over = 1.5  # s
+
+    async def test() -> None:
+        def answer(connection: socket.socket, number: int) -> None:
+            if number == 1:
+                whole = list_of(7, 100)
+                connection.sendall(whole[:200])
+                time.sleep(written_over)
+                connection.sendall(whole[200:])
+
+        ages: list[float] = []
+        server = Server(answer)
+        discovery = Discovery(
+            server.address, None, 10.0, lambda told: ages.append(told.age), lambda *failed: None
+        )
+        if watched:
+            discovery.watch(True)
+        else:
+            discovery.fetch()
+        await until(lambda: bool(ages))
+        discovery.stop()
+        assert ages[0] >= written_over
+
+    run(test())
+
+
 def test_a_discovery_that_takes_seconds_for_each_call_is_heard() -> None:
     async def test() -> None:
         def answer(connection: socket.socket, number: int) -> None:
