Do not let the accept queue wait for clients that stopped in the middle of a head

Callers: beside a crowd that writes a part of a head and stops, each request on a new connection waited 0.5 s and more to be read; where the crowd wrote 123 bytes, 0 of 100 requests were served, on an idle machine.

Cause: limits/connection_eviction.py counts bytes as credit (50 a second), also for who has stopped writing, and the accept queue is first in, first out: all wait until that credit ends (23 bytes: 0.46 s). Accepted connections also began their age and their silence anew.

The new case `most of a head` got 0 of 100 before.

Fix: in a flood, who wrote a part of a head and then nothing for 0.3 s (0.5 s while there are places enough) gives way, before and after the accept; age and silence count from the connect and from the bytes' arrival. A whole request in the queue is told from a half one by a look at its bytes; TLS is left out.

--- a/gladegw/limits/connection_eviction.py
+++ b/gladegw/limits/connection_eviction.py
@@ -13,6 +13,7 @@
 MIN_HEAD_BYTES_PER_S = 50.0  # a true client sends at least 100 bytes of head within 2 s
 MIN_SILENCE_S = 1 / MIN_HEAD_BYTES_PER_S  # one byte at that rate: a shorter silence is no evidence
 RECENT_BYTES_S = 0.5  # a request with a byte within this time is in progress
+MIN_STALL_TIMEOUT_S = 0.3  # the same in a connection flood
 SLOW_REQUEST_GRACE_S = 1.0  # time for a request in progress at the minimum rate
 CLOSE_GRACE_S = 0.1  # time for the peer to close when the descriptor is needed
 CLOSE_AFTER_RESPONSE_FRACTION = 0.8  # of the connection limit, above which responses close
@@ -61,7 +62,7 @@
 
 
 class ConnectionFlood:
-    """The rate of new connections, and the silence timeout that lets each of them find a place.
+    """The rate of new connections, and the timeouts that let each of them find a place.
 
     The rate is an exponentially weighted mean over about `NEW_CONNECTION_GRACE_S`. A fixed timeout would be
     too long in a flood, where true clients queue behind those that reconnect as soon as they are closed, and
@@ -84,14 +85,22 @@
 
     @property
     def silence_timeout(self) -> float:
-        """The silence timeout in seconds, from `MIN_SILENCE_S` to `NEW_CONNECTION_GRACE_S`."""
-        return max(
-            MIN_SILENCE_S,
-            min(
-                NEW_CONNECTION_GRACE_S,
-                NEW_CONNECTION_GRACE_S * self.max_connections / max(1.0, self.recent_connections),
-            ),
-        )
+        """Seconds until the first byte of a request, from `MIN_SILENCE_S` to `NEW_CONNECTION_GRACE_S`."""
+        return self._shortened(NEW_CONNECTION_GRACE_S, MIN_SILENCE_S)
+
+    @property
+    def stall_timeout(self) -> float:
+        """Seconds between two bytes of a request, from `MIN_STALL_TIMEOUT_S` to `RECENT_BYTES_S`.
+
+        Bytes sent before say nothing about the next ones: whoever writes most of a head and then nothing
+        would hold a place as long as the slowest true client.
+        """
+        return self._shortened(RECENT_BYTES_S, MIN_STALL_TIMEOUT_S)
+
+    def _shortened(self, longest: float, shortest: float) -> float:
+        """Return `longest`, reduced in proportion when more connections come than there are places."""
+        fitting = longest * self.max_connections / max(1.0, self.recent_connections)
+        return max(shortest, min(longest, fitting))
 
 
 def is_lagging(received: int, age: float, silence_timeout: float) -> bool:
@@ -103,7 +112,10 @@
 
 
 def eviction_cost(
-    connection: ClientConnectionState, now: float, silence_timeout: float = NEW_CONNECTION_GRACE_S
+    connection: ClientConnectionState,
+    now: float,
+    silence_timeout: float = NEW_CONNECTION_GRACE_S,
+    stall_timeout: float = RECENT_BYTES_S,
 ) -> tuple[int, float] | None:
     """Return the eviction order of a connection, lowest first; None if it must not be evicted."""
     stage, silence = connection.stage, now - connection.changed_at
@@ -114,7 +126,7 @@
     age = now - connection.request_started_at
     if stage is ConnectionStage.RECEIVING and age > NEW_CONNECTION_GRACE_S:
         score = -(silence + AGE_WEIGHT * age)
-        if silence > RECENT_BYTES_S or connection.received < MIN_HEAD_BYTES_PER_S * age:
+        if silence > stall_timeout or connection.received < MIN_HEAD_BYTES_PER_S * age:
             return 2, score
         return (3, score) if age > SLOW_REQUEST_GRACE_S else None
     if stage is ConnectionStage.RECEIVING and is_lagging(connection.received, age, silence_timeout):
@@ -128,11 +140,12 @@
     now: float,
     count: int = 1,
     silence_timeout: float = NEW_CONNECTION_GRACE_S,
+    stall_timeout: float = RECENT_BYTES_S,
 ) -> list[ConnectionT]:
     """Return up to `count` connections to evict, in order of `eviction_cost`."""
     ranked = (
         (cost, position, connection)
         for position, connection in enumerate(connections)
-        if (cost := eviction_cost(connection, now, silence_timeout)) is not None
+        if (cost := eviction_cost(connection, now, silence_timeout, stall_timeout)) is not None
     )
     return [connection for _, _, connection in heapq.nsmallest(count, ranked)]
--- a/gladegw/net/acceptor.py
+++ b/gladegw/net/acceptor.py
@@ -119,12 +119,11 @@
             examined += 1
             accepted_at = time.monotonic()
             if in_use >= self.max_served:
-                age, received = listener.received_before_accept(client)
-                if is_lagging(received, age, self.flood.silence_timeout):
+                queued = listener.received_before_accept(client)
+                if self._is_lagging(client, queued, self.listeners[sock] is not None):
                     client.close()
                     continue
-                if not received:
-                    accepted_at -= age
+                accepted_at -= queued.age
             self._admit(client, self.listeners[sock], accepted_at)
             in_use += 1
         self.flood.on_accepted(examined, time.monotonic())
@@ -134,6 +133,16 @@
             self._pause_listener(sock)
         return None
 
+    def _is_lagging(self, client: socket.socket, queued: listener.QueuedConnection, tls: bool) -> bool:
+        """Whether a queued connection has sent too little, or a part of a head and then nothing.
+
+        A client of TLS waits for this side after its first message.
+        """
+        if is_lagging(queued.received, queued.age, self.flood.silence_timeout):
+            return True
+        is_stalled = queued.received > 0 and queued.silence > self.flood.stall_timeout and not tls
+        return is_stalled and not listener.has_complete_head(client)
+
     def _log_fault(self, fault: OSError) -> None:
         """Log a fault of accepting, at most once in LOG_INTERVAL_S."""
         if time.monotonic() > self.last_logged + LOG_INTERVAL_S:
--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -152,6 +152,9 @@
                     raise BadRequestError(413, "request too large")
         except Exception as fault:  # from the parser, or from a callback through it
             self._on_malformed(fault)
+        if self.receiving and self.server.is_overloaded:
+            # Its silence began when these bytes arrived, not when they were read.
+            self.changed_at -= self._waited_unread()
         self._answer_next()
 
     def _on_malformed(self, fault: Exception) -> None:
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -102,8 +102,9 @@
 
     def _evict(self, count: int) -> None:
         """Abort up to `count` connections by the eviction policy, unless they hold unread bytes."""
+        flood = self.acceptor.flood
         for connection in connections_to_evict(
-            self.connections, time.monotonic(), count, self.acceptor.flood.silence_timeout
+            self.connections, time.monotonic(), count, flood.silence_timeout, flood.stall_timeout
         ):
             if connection.stage is ConnectionStage.CLOSING or not connection.unread:
                 connection.abort_connection()
--- a/gladegw/net/listener.py
+++ b/gladegw/net/listener.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import sys
+from dataclasses import dataclass
 
 from gladegw.net.sockets import open_socket
 
@@ -19,8 +20,11 @@
 BPF_RETURN = 0x06  # BPF_RET | BPF_K
 NEWEST = 1  # the kernel numbers the sockets of an address as they began to listen; an older one leaves 0 free
 LAST_SENT, LAST_SENT_AT = struct.Struct("I"), 44  # linux/tcp.h, struct tcp_info: tcpi_last_data_sent, ms
+LAST_RECEIVED, LAST_RECEIVED_AT = struct.Struct("I"), 52  # tcpi_last_data_recv, ms
 RECEIVED, RECEIVED_AT = struct.Struct("Q"), 128  # tcpi_bytes_received
 TCP_INFO_BYTES = RECEIVED_AT + RECEIVED.size
+HEAD_END = b"\r\n\r\n"
+PEEKED_BYTES = 4096
 
 
 def family_of(host: str) -> socket.AddressFamily:
@@ -82,8 +86,17 @@
     return True
 
 
-def received_before_accept(sock: socket.socket) -> tuple[float, int]:
-    """The age of a connection to which nothing was sent, in seconds, and the number of bytes received on it.
+@dataclass(frozen=True, slots=True)
+class QueuedConnection:
+    """What the kernel knows of a connection to which nothing was sent; times in seconds."""
+
+    age: float = 0.0
+    received: int = 0  # bytes
+    silence: float = 0.0  # since bytes were last received
+
+
+def received_before_accept(sock: socket.socket) -> QueuedConnection:
+    """What became of a connection while it waited to be accepted.
 
     Source: `struct tcp_info` of Linux, where the time of the last transmission starts with the connection.
     Zeros if this cannot be determined.
@@ -91,10 +104,23 @@
     with contextlib.suppress(OSError, AttributeError):
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
         if len(info) == TCP_INFO_BYTES:
-            (since,) = LAST_SENT.unpack_from(info, LAST_SENT_AT)
+            (age,) = LAST_SENT.unpack_from(info, LAST_SENT_AT)
+            (silence,) = LAST_RECEIVED.unpack_from(info, LAST_RECEIVED_AT)
             (received,) = RECEIVED.unpack_from(info, RECEIVED_AT)
-            return since / 1000, received
-    return 0.0, 0
+            return QueuedConnection(age / 1000, received, silence / 1000)
+    return QueuedConnection()
+
+
+def has_complete_head(sock: socket.socket) -> bool:
+    """Whether the bytes that wait to be read contain the end of a request's head.
+
+    Also true where this cannot be determined, and for a head of more than PEEKED_BYTES.
+    """
+    try:
+        waiting_bytes = sock.recv(PEEKED_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        return True
+    return HEAD_END in waiting_bytes or len(waiting_bytes) == PEEKED_BYTES
 
 
 def waiting(sock: socket.socket) -> list[socket.socket]:
--- a/tests/limits/test_connection_limits.py
+++ b/tests/limits/test_connection_limits.py
@@ -15,7 +15,9 @@
 
 from gladegw.limits.connection_eviction import (
     MIN_SILENCE_S,
+    MIN_STALL_TIMEOUT_S,
     NEW_CONNECTION_GRACE_S,
+    RECENT_BYTES_S,
     SLOW_REQUEST_GRACE_S,
     ConnectionFlood,
     ConnectionStage,
@@ -133,6 +135,18 @@
     assert flood.silence_timeout == NEW_CONNECTION_GRACE_S
 
 
+def test_in_a_flood_who_stopped_in_a_head_gives_way_however_much_of_it_came() -> None:
+    """Guards against a crowd that writes most of a head and holds its places like the slowest true client."""
+    stopped = StubConnection(ConnectionStage.RECEIVING, 9.5, 9.65, 100)
+    writing = StubConnection(ConnectionStage.RECEIVING, 9.0, 9.75, 60)  # its last byte 0.25 s ago
+    flood = ConnectionFlood(30)
+    calm = connections_to_evict([stopped, writing], 10.0, 2, flood.silence_timeout, flood.stall_timeout)
+    flood.on_accepted(150, 10.0)
+    found = connections_to_evict([stopped, writing], 10.0, 2, flood.silence_timeout, flood.stall_timeout)
+    assert (calm, found) == ([], [stopped])
+    assert flood.stall_timeout == MIN_STALL_TIMEOUT_S < RECENT_BYTES_S
+
+
 @given(connections, st.integers(0, 5))
 def test_no_more_give_way_than_are_asked_for_and_none_twice(
     present: list[StubConnection], count: int
@@ -226,9 +240,14 @@
     return len(os.listdir(f"/proc/{node.process.pid}/fd"))
 
 
-@pytest.mark.parametrize("kind", ["silent", "half", "dripping", "asked and stayed", "open and close"])
+@pytest.mark.parametrize(
+    "kind", ["silent", "half", "dripping", "asked and stayed", "open and close", "most of a head"]
+)
 def test_true_clients_are_served_beside_a_crowd(kind: str) -> None:
-    """At the bound of descriptors some of the crowd makes room for each true client; some write slowly."""
+    """At the bound of descriptors some of the crowd makes room for each true client; some write slowly.
+
+    `half` and `most of a head` guard against an accept queue that waits for those who stopped in a head.
+    """
     limit = 96
 
     async def test() -> None:
@@ -244,6 +263,8 @@
                     continue
                 if kind == "half":
                     peer.writer.write(b"GET /stock HTTP/1.1\r\nX-")
+                elif kind == "most of a head":
+                    peer.writer.write(b"GET /stock HTTP/1.1\r\nX-" + b"y" * 100)
                 elif kind == "asked and stayed":
                     peer.writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
                 if kind == "open and close":
--- a/tests/net/test_listener.py
+++ b/tests/net/test_listener.py
@@ -6,6 +6,7 @@
 import errno
 import select
 import socket
+import time
 from typing import Any
 
 import pytest
@@ -115,3 +116,27 @@
     monkeypatch.setattr(socket, "socket", Scarce)
     with pytest.raises(OSError, match="refused"):
         listener.listen("127.0.0.1", 1)
+
+
+@pytest.mark.parametrize(
+    ("sent", "complete"),
+    [(b"GET / HTTP/1.1\r\nX-", False), (b"GET / HTTP/1.1\r\n\r\n", True), (b"x" * 5000, True), (b"", True)],
+)
+def test_a_whole_request_that_waits_to_be_accepted_is_told_from_a_half_written_one(
+    sent: bytes, complete: bool
+) -> None:
+    """Guards against a flood's stall timeout that closes whole requests which waited in the accept queue."""
+    with (
+        listener.listen("127.0.0.1", free_port()) as sock,
+        socket.create_connection(sock.getsockname()) as client,
+    ):
+        client.sendall(sent)
+        time.sleep(0.1)
+        accepted = sock.accept()[0]
+        with accepted:
+            queued = listener.received_before_accept(accepted)
+            assert queued.received == len(sent) and queued.age >= 0.09
+            assert not sent or queued.silence >= 0.09
+            assert listener.has_complete_head(accepted) == complete
+            accepted.setblocking(False)
+            assert not sent or accepted.recv(8) == sent[:8]  # nothing was taken
