Count the time that a first attempt waited here apart from the client's own

Callers: beside a crowd, requests that had waited 0.26 s to be read got `503 refused` from an idle proxy (window 0 of 14 in use, empty queue), with 0.2 s of their latency objective left.

Cause: Balancer.objective_left took any budget below the usual one for a client's late retry and counted the class's whole deadline as spent: 0.5 - (1.2 - 0.65) s for a request with 1.0 s of budget that was 0.31 s old.

The new test's first case fails without the change, its three others pass.

Fix: the driver says how long a request waited (Arrival.waited; a capture keeps it). Whether a budget is below the usual one is judged by what the client sent; the wait itself is taken from the objective once.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -195,7 +195,9 @@
         quota = self.quota_left.get(event.tenant) if self.settings.stage == 0 else None
         if quota is not None and quota >= 1:
             self.quota_left[event.tenant] -= 1
-        typical_budget = 0.0 if cls.counts_late or self.settings.stage else cls.typical_budget(event.budget)
+        typical_budget = 0.0
+        if not (cls.counts_late or self.settings.stage):
+            typical_budget = cls.typical_budget(event.budget + event.waited)
         call = self.make_call(event, cls, quota, typical_budget)
         call.max_attempts = event.max_attempts
         if self.observer is not None:
@@ -204,6 +206,8 @@
                 self.arrival_inputs[call.id]["most"] = event.max_attempts
             if event.route_timeout < math.inf:
                 self.arrival_inputs[call.id]["limit"] = event.route_timeout
+            if event.waited:
+                self.arrival_inputs[call.id]["waited"] = event.waited
         self.lifecycle.calls[call.id] = call
         self.admission.history.append(call.priority_weight)
         self.retry_tokens = min(RETRY_BUDGET_BURST, self.retry_tokens + RETRY_BUDGET_FRACTION)
@@ -221,7 +225,7 @@
             priority_weight *= event.work
         if quota is not None and quota < 1:
             priority_weight *= self.settings.over_quota_weight
-        objective_left = self.objective_left(cls, event.budget, typical_budget)
+        objective_left = self.objective_left(cls, event.budget, typical_budget, event.waited)
         left = min(event.budget, event.route_timeout)
         useful = left if cls.counts_late else min(left, objective_left)
         return Call(event.call, cls, priority_weight, now, now + left, now + useful)
@@ -244,16 +248,22 @@
         else:
             self.reject(call)
 
-    def objective_left(self, cls: ClassState, budget: float, typical_budget: float) -> float:
+    def objective_left(
+        self, cls: ClassState, budget: float, typical_budget: float, waited: float = 0.0
+    ) -> float:
         """Return the seconds left of the latency objective.
 
         The budget of an inner call is the useful time that its caller's instance left it. At the first tier a
-        budget below the typical one means that the client's total time is running out, so it shows how long
-        the client has waited over earlier attempts. Prevents work for answers that come too late; the median
-        instead of the maximum keeps a few unusual budgets from making every first attempt look late.
+        budget that was below the typical one when the client sent it means that the client's total time is
+        running out, so it shows how long the client has waited over earlier attempts. Prevents work for
+        answers that come too late; the median instead of the maximum keeps a few unusual budgets from making
+        every first attempt look late. Time that a first attempt waited here is no earlier attempt of the
+        client: only that time is taken from its objective.
         """
-        if self.settings.stage or budget >= typical_budget - CONTROL_STEP_S:
+        if self.settings.stage:
             return cls.latency_objective
+        if budget + waited >= typical_budget - CONTROL_STEP_S:
+            return cls.latency_objective - waited
         return cls.latency_objective - (cls.deadline - budget)
 
     def enqueue(self, call: Call) -> None:
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -256,10 +256,11 @@
         if request.id:  # a mirrored copy has none
             self.ids.add(request.id)
         now = time.monotonic()
-        left = request.budget - margin - BALANCER_MARGIN_S
+        left, waited = request.budget - margin - BALANCER_MARGIN_S, 0.0
         if not coming:  # its deadline starts with its last byte
             call.timer = self.loop.call_later(max(0.0, deadline - now), self._on_deadline, call)
-            left += request.received_at - now
+            waited = max(0.0, now - request.received_at)
+            left -= waited
         arrival = api.Arrival(
             call=number,
             cls=request.cls,
@@ -268,6 +269,7 @@
             work=request.work,
             is_retry=request.resent,
             key=request.subject,
+            waited=waited,
         )
         if request.routed is not None:
             arrival.max_attempts = request.routed.attempts
--- a/gladegw/replay.py
+++ b/gladegw/replay.py
@@ -121,6 +121,7 @@
             quota = balancer.quota[record["tenant"]] if step.get("quota") is None else step["quota"]
         event = Arrival(1, record["class"], budget, record["tenant"], step.get("work", 0.0))
         event.route_timeout = step.get("limit", math.inf)
+        event.waited = step.get("waited", 0.0)
         self.call = balancer.make_call(event, self.cls, quota, step.get("usual", 0.0))
         self.call.max_attempts = step.get("most", 0)
         threshold = step.get("cut")
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -669,6 +669,23 @@
     assert send.timeout < 0.151
 
 
+@pytest.mark.parametrize(
+    ("budget", "waited", "served"),
+    [(0.9, 0.6, True), (0.9, 0.0, False), (0.45, 1.05, False), (1.5, 0.0, True)],
+    ids=["waited here", "tried before", "waited past its objective", "usual"],
+)
+def test_a_first_attempt_that_waited_here_is_not_taken_for_a_late_retry(
+    budget: float, waited: float, served: bool
+) -> None:
+    """Guards against requests refused by an idle proxy because they were read late, with objective left."""
+    driver = Driver(settings())
+    for call in range(60):  # the usual budget, below the class's deadline of 2 s, becomes known
+        driver.settle(only_send(driver.arrive(call, budget=1.5)), Status.OK)
+        driver.wait(0.05)
+    actions = driver.arrive(99, budget=budget, waited=waited) + driver.wait(0.05)
+    assert bool(sends(actions, 99)) == served
+
+
 def replaced(driver: Driver, *gone: int) -> None:
     """These servers are gone and others, cold, have come in their place."""
     driver.feed(
