Keep time in which the proxy stood still from counting as its servers'

Callers: after any pause of the process (garbage collection, no free core) up to 70% of requests were refused for 50 ms, with idle servers.

Cause: timers run before sockets. After a pause the balancer's control step saw calls in flight for 220 to 320 mean latencies whose answers waited unread, took the servers for hung, and the processing time, 14 to 20 ms instead of 0.13, set an admission threshold for the next 50 ms. A batch that stood still itself dated its attempts before the pause.

Fix: the last loop turn before a timer of the balancer is for the sockets, and one more if the process stood still in it (three at most). A batch that took over 3 ms tells the balancer (event Stalled), which takes that time from the age of the attempts then in flight.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -30,6 +30,7 @@
     ServerList,
     SetTimer,
     Settings,
+    Stalled,
     Status,
     StreamStarted,
     Timer,
@@ -138,6 +139,9 @@
                 self.on_client_disconnected(event)
             elif type(event) is StreamStarted:
                 self.on_stream(event)
+            elif type(event) is Stalled:
+                for attempt in self.in_flight.values():
+                    attempt.stalled_for += event.seconds
         if self.last_step < 0:
             self.start()
         elif now - self.last_step >= CONTROL_STEP_S - 1e-9:
@@ -555,7 +559,7 @@
         for attempt in self.in_flight.values():
             if attempt.call.streaming:
                 continue  # its age depends on its size and on the client
-            age = now - attempt.sent_at
+            age = now - attempt.sent_at - attempt.stalled_for
             cls = attempt.call.cls
             if attempt.in_window:
                 total += age / cls.mean.value
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -303,6 +303,16 @@
     elapsed: float = 0.0
 
 
+@dataclass(slots=True)
+class Stalled:
+    """This process stood still for `seconds` while it carried out the last batch's actions.
+
+    Attempts in flight were waiting for it meanwhile, not for their servers.
+    """
+
+    seconds: float
+
+
 @dataclass(slots=True)
 class ClientDisconnected:
     """The client disconnected, or its time ran out: it expects no answer any more."""
@@ -336,7 +346,15 @@
 
 
 Event = (
-    ServerList | Arrival | Outcome | StreamStarted | ClientDisconnected | ProbeResult | Timer | PeerMessage
+    ServerList
+    | Arrival
+    | Outcome
+    | StreamStarted
+    | Stalled
+    | ClientDisconnected
+    | ProbeResult
+    | Timer
+    | PeerMessage
 )
 
 # -- actions -----------------------------------------------------------------------------------------
--- a/gladegw/balancing/requests.py
+++ b/gladegw/balancing/requests.py
@@ -32,6 +32,7 @@
         "number",
         "sent_at",
         "server",
+        "stalled_for",
         "status",
     )
 
@@ -43,6 +44,7 @@
         self.connection_idle = 0.0  # seconds without use; 0: in use or new
         self.new_connection = False  # the connection was new
         self.hedged = False
+        self.stalled_for = 0.0  # seconds for which this process stood still, of its time in flight
 
 
 class Call:
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -35,6 +35,8 @@
 MAX_MARGIN_S = 0.15  # s
 BALANCER_MARGIN_S = 0.02  # of the balancer's deadline before the proxy's own
 LAG_RETENTION = 0.995  # of the measured event loop lag, at each timer
+STALL_S = 0.003  # of a batch, or of a loop turn without one: the process stood still
+MAX_TURNS = 3  # that a timer waits for the sockets
 MAX_PROBES = 32  # at once
 PROBE_TIMEOUT_S = 0.2  # a later report is of no use
 LARGE_ANSWER_STALL_S = 2.0  # of a large response whose deadline has passed
@@ -169,6 +171,9 @@
                     self._give_up(number)
         for number in ended:
             del self.ended[number]
+        stalled = time.monotonic() - now
+        if stalled > STALL_S and self.in_flight:
+            self._push(api.Stalled(stalled))
 
     def _recover(self, events: list[api.Event]) -> None:
         """Handle an exception of the balancer: fail the requests of the batch and repeat its timers."""
@@ -511,14 +516,28 @@
         self.upstreams.start(probe)
 
     def _set_timer(self, action: api.SetTimer) -> None:
-        """Start a timer of the balancer."""
-        due = time.monotonic() + action.delay
-        self.loop.call_later(max(0.0, action.delay), self._timer, due, action.token)
+        """Start a timer of the balancer; the last loop turn before it is for the sockets."""
+        wait = max(0.0, action.delay - ONE_LOOP_TURN_S)
+        self.loop.call_later(wait, self._timer, time.monotonic() + wait, action.token)
 
     def _timer(self, due: float, token: int) -> None:
-        """Measure the event loop's lag and pass on the timer; deferred while retired and unused."""
+        """Measure the event loop's lag and let the sockets be read before the timer is passed on.
+
+        Timers run before sockets. If the process stood still, answers that arrived meanwhile are unread, and
+        the balancer would take their waiting for the servers'.
+        """
         self.lag = max(self.lag * LAG_RETENTION, time.monotonic() - due)
-        if self.retired and not (self.calls or self.in_flight):
+        self._read_sockets(token, MAX_TURNS)
+
+    def _read_sockets(self, token: int, turns: int) -> None:
+        """Pass on a timer after a loop turn without a stall, at the latest after `turns` of them."""
+        self.loop.call_later(ONE_LOOP_TURN_S, self._on_turn, time.monotonic(), token, turns)
+
+    def _on_turn(self, begun: float, token: int, turns: int) -> None:
+        """Pass on a timer unless the process stood still in the last turn; deferred while unused."""
+        if turns > 1 and time.monotonic() - begun > STALL_S:
+            self._read_sockets(token, turns - 1)
+        elif self.retired and not (self.calls or self.in_flight):
             self.deferred_timers.append(token)
         else:
             self._push(api.Timer(token))
--- a/tests/balancing/test_balancer.py
+++ b/tests/balancing/test_balancer.py
@@ -22,11 +22,14 @@
     ServerEntry,
     ServerList,
     ServerState,
+    Stalled,
     Status,
     Tenant,
+    Timer,
     Watch,
 )
 from gladegw.balancing.admission import Admission, ClassState
+from gladegw.balancing.balancer import TICK_TOKEN
 
 
 def admission(window: float, latency: float, rate: float, worths: list[float], stage: int = 0) -> Admission:
@@ -669,6 +672,19 @@
     assert send.timeout < 0.151
 
 
+@pytest.mark.parametrize("stalled", [False, True])
+def test_time_in_which_this_process_stood_still_makes_no_server_look_hung(stalled: bool) -> None:
+    """Guards against shedding with idle servers after a pause of the proxy itself."""
+    driver = Driver(settings(), servers=entries(1))
+    for call in range(60):
+        driver.settle(only_send(driver.arrive(call)), Status.OK, elapsed=0.001)
+        driver.wait(0.01)
+    driver.arrive(99)
+    driver.now += 0.1
+    driver.feed(*([Stalled(0.0995)] if stalled else []), Timer(TICK_TOKEN))
+    assert (driver.balancer.admission.in_flight_age < 1.0) == stalled
+
+
 @pytest.mark.parametrize(
     ("budget", "waited", "served"),
     [(0.9, 0.6, True), (0.9, 0.0, False), (0.45, 1.05, False), (1.5, 0.0, True)],
