--- a/tests/net/test_stalls.py
+++ b/tests/net/test_stalls.py
@@ -3,9 +3,140 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
-from support.loopback import Backend, Behaviour, Seen, proxy, response, run, serve_ok
+import uvloop
+from support.loopback import (
+    PATIENCE,
+    Backend,
+    Behaviour,
+    Seen,
+    config,
+    endpoint,
+    listing,
+    proxy,
+    response,
+    run,
+    serve_ok,
+)
+
+from gladegw.balancing.events import Action, Event, Outcome, Timer
+from gladegw.balancing.parameters import CONTROL_STEP_S
+from gladegw.net.config import load
+from gladegw.net.driver import Driver
+from gladegw.net.interfaces import FlowControl
+from gladegw.net.request import Request
+
+
+class HeldBackend:
+    """A backend in threads of its own: it goes on while the proxy's loop stands still."""
+
+    def __init__(self) -> None:
+        self.received, self.released, self.answered = (threading.Event() for _ in range(3))
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                threading.Thread(target=self._serve, args=(self.listener.accept()[0],), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError), connection:
+            while head := connection.recv(65536):
+                if head.startswith(b"GET /load"):
+                    connection.sendall(response(200, b"inflight=0,queue=0"))
+                    continue
+                self.received.set()
+                self.released.wait(PATIENCE)
+                connection.sendall(response(200, b"done"))
+                self.answered.set()
+
+
+class Reply:
+    """Receives the response of a request that no client sent."""
+
+    def __init__(self) -> None:
+        self.code = 0
+
+    def hung_up(self) -> bool:
+        return False
+
+    def answer(self, code: int, headers: Any, body: bytes) -> None:
+        self.code = code
+
+    def begin(self, headers: Any, length: int | None, source: FlowControl) -> None:
+        raise AssertionError("the answer is short")
+
+    def send(self, chunk: bytes) -> None:
+        raise AssertionError("the answer is short")
+
+    def finish(self) -> None:
+        raise AssertionError("the answer is short")
+
+    abort = finish
+
+
+async def until(met: Callable[[], object]) -> None:
+    async with asyncio.timeout(PATIENCE):
+        while not met():
+            await asyncio.sleep(0.001)
+
+
+def test_after_a_stall_answers_are_read_before_the_decisions_look_at_ages(tmp_path: Path) -> None:
+    """Guards against shedding with idle servers: an answer that waited unread counted as a hung server's."""
+    backend = HeldBackend()
+    path = tmp_path / "config.json"
+    known = listing(1, endpoint("s-1", backend.address))
+    path.write_text(json.dumps(config("127.0.0.1:1", known, "127.0.0.1:2", quantum=0.0)))
+    batches: list[list[type[Event]]] = []
+
+    async def test() -> None:
+        driver = Driver(load({"EDGE_CONFIG": str(path)}))
+        handle = driver.balancer.handle
+
+        def recorded(now: float, events: list[Event]) -> list[Action]:
+            batches.append([type(event) for event in events])
+            return handle(now, events)
+
+        driver.balancer.handle = recorded  # type: ignore[method-assign]
+        driver.start()
+        reply, head = Reply(), b"GET /stock HTTP/1.1\r\nX-Call-Id: 1\r\n"
+        request = Request(b"1", "stock", 1.0, "", "", 0.0, False, head, time.monotonic(), True)
+        driver.on_request(request, reply)
+        await until(backend.received.is_set)
+        trigger, stalled = socket.socketpair()
+
+        def stall() -> None:
+            driver.loop.remove_reader(stalled)
+            backend.released.set()
+            assert backend.answered.wait(PATIENCE)
+            time.sleep(2 * CONTROL_STEP_S)
+            batches.clear()
+
+        driver.loop.add_reader(
+            stalled, stall
+        )  # in the loop's turn for sockets, behind which timers come first
+        trigger.send(b"x")
+        await until(lambda: reply.code)
+        await until(lambda: any(Timer in batch for batch in batches))
+        driver.stop()
+        trigger.close()
+        stalled.close()
+
+    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(test())
+    with_outcome = next(number for number, batch in enumerate(batches) if Outcome in batch)
+    with_timer = next(number for number, batch in enumerate(batches) if Timer in batch)
+    assert with_outcome <= with_timer, batches
 
 
 async def fail(seen: Seen, writer: asyncio.StreamWriter) -> None:
