--- a/gladegw/control/policy_participant.py
+++ b/gladegw/control/policy_participant.py
@@ -19,6 +19,7 @@
 from gladegw.control import policy_bundle
 from gladegw.control.backoff import Backoff
 from gladegw.control.errors import StoreClientError, StoreRejectedError
+from gladegw.control.hedging import hedged
 from gladegw.control.interfaces import ParticipantHost
 from gladegw.control.policy_bundle import BundleError
 from gladegw.coordination import policy_commit, rollout
@@ -47,6 +48,7 @@
 PREPARE_RETRY_INTERVAL_S = 5.0  # after a committed policy could not be prepared
 CRASHED = "ended"  # first word of the reason for such a rejection
 RETRY_INTERVAL_S = 0.2  # after a request without an answer
+HEDGE_FRACTION = 1 / 3  # of the time for which the policy is certain, after which a second endpoint is asked
 
 Prepare = Callable[[Mapping[str, str]], Any]  # files to prepared tables; raises ValueError; runs in a thread
 Activate = Callable[[int, str, Any, Callable[[], None]], None]  # epoch, digest, prepared tables, callback
@@ -142,17 +144,19 @@
 
     async def confirm_with_store(self) -> None:
         """Read the policy records linearizably and process them; raises StoreClientError."""
-        sent = self.member.clock()
-        revision, found = await self.member.client.get(Get(*self.keys.policy))
-        self.member.store_reached.set()
+        member, request = self.member, Get(*self.keys.policy)
+        sent = member.clock()
+        delay = (self.confirmed_until - sent) * HEDGE_FRACTION
+        revision, found = await hedged(lambda client: client.get(request), member.client, delay)
+        member.store_reached.set()
         by_key = {kv.key: kv for kv in found}
         keys = self.keys
         force, change, heartbeat = (
             by_key.get(key) for key in (keys.committed_policy, keys.open_change, keys.rollout_heartbeat)
         )
         self._apply_store_state(force, change, heartbeat, revision)
-        if self.member.registered and self.state.may_serve:
-            self.confirmed_until = sent + self.member.ttl * (1 - MAX_CLOCK_DRIFT)
+        if member.registered and self.state.may_serve:
+            self.confirmed_until = sent + member.ttl * (1 - MAX_CLOCK_DRIFT)
 
     # actions
     def _apply(self, state: Participant, actions: tuple[Action, ...]) -> None:
--- a/gladegw/control/store_client.py
+++ b/gladegw/control/store_client.py
@@ -72,6 +72,12 @@
         self.endpoint_index += 1
         self.close()
 
+    def at_next_endpoint(self) -> StoreClient:
+        """Return a client of the same store that begins with the next endpoint."""
+        other = StoreClient(self.endpoints, self.timeout, self.token_file)
+        other.endpoint_index = self.endpoint_index + 1
+        return other
+
     def _failed(self, channel: Channel) -> None:
         """Use the next endpoint, unless another call has already replaced the failed channel."""
         if channel is self.channel:
--- a/gladegw/rig/simulate/wire.py
+++ b/gladegw/rig/simulate/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextvars import Context
 from random import Random
@@ -80,9 +81,15 @@
     def member(self) -> int:
         return self.at % len(self.cluster.machines)
 
-    def elsewhere(self) -> None:
+    def use_next_endpoint(self) -> None:
         self.at += 1
 
+    def at_next_endpoint(self) -> Wire:
+        """Another client of the same process, that begins with the next member."""
+        other = copy.copy(self)
+        other.at = self.at + 1
+        return other
+
     def close(self) -> None:
         pass
 
@@ -118,7 +125,7 @@
         except TimeoutError:
             result, fault = None, StoreUnreachableError("no answer in time")
         if isinstance(fault, StoreUnreachableError) and at == self.at:
-            self.elsewhere()
+            self.use_next_endpoint()
         if fault is not None:
             raise fault
         found: T = result
@@ -195,7 +202,7 @@
                             async with asyncio.timeout(silence):
                                 await self.net.passed(self.name, "back")
                         except TimeoutError:
-                            self.elsewhere()
+                            self.use_next_endpoint()
                             raise WatchLostError("it fell silent") from None
                         quiet = 0.0
                         yield until, told
@@ -208,7 +215,7 @@
                     if self.net.free(self.name) and not machine.cut:
                         quiet = 0.0  # it was asked, and has answered
                     elif quiet >= silence:
-                        self.elsewhere()
+                        self.use_next_endpoint()
                         raise WatchLostError("it fell silent") from None
         finally:
             machine.watches.pop(bell, None)
--- a/tests/control/test_policy_sockets.py
+++ b/tests/control/test_policy_sockets.py
@@ -245,6 +245,26 @@
     run(test())
 
 
+def test_one_endpoint_of_the_store_that_hangs_ends_no_right_to_serve(tmp_path: Path) -> None:
+    """Guards against `no policy in force here` while the store is up but for the endpoint that was in use."""
+
+    async def test() -> None:
+        async with site(tmp_path, "refuse") as here:
+            links = [await here.stack.enter_async_context(Link(at)) for at in here.at.endpoints]
+            node = await here.proxy("p0", [link.address for link in links])
+            assert await answer(node) == (404, "first")
+            for link in links:  # one after another, each while the two others answer
+                link.cut()
+                end = time.monotonic() + 2 * TTL
+                while time.monotonic() < end:
+                    assert await answer(node) == (404, "first")
+                    await asyncio.sleep(0.02)
+                link.heal()
+                await asyncio.sleep(TTL / 2)
+
+    run(test())
+
+
 def test_a_change_is_called_off_or_ends_by_its_deadline(tmp_path: Path) -> None:
     async def test() -> None:
         async with site(tmp_path, ttl=60) as here:
