--- a/tests/rig/test_soak.py
+++ b/tests/rig/test_soak.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import subprocess
+import sys
 from pathlib import Path
 
 import msgspec
@@ -13,6 +17,8 @@
 
 SEEDS = (3, 5, 12, 21)  # failing calls, 200 servers, several SIGHUP, drains before, in and after refusals
 LONG_REFUSED = 7.0  # s
+ROOT = Path(__file__).parents[2]
+BUILD_TIMEOUT_S = 120.0
 
 
 def test_a_seed_is_a_day() -> None:
@@ -79,3 +85,26 @@
         assert {breach.rule for breach in found.breaches} == set(rule.split()), found.breaches
 
     run(test())
+
+
+def test_an_installed_package_plays_a_day(tmp_path: Path) -> None:
+    """Guards against a wheel that lacks the source of the library of failing system calls."""
+    target, environ = tmp_path / "site", {**os.environ, "PYTHONPATH": str(tmp_path / "site")}
+    pip = (sys.executable, "-m", "pip", "--quiet", "--disable-pip-version-check")
+    wheel = (*pip, "wheel", "--no-deps", "--wheel-dir", str(tmp_path), str(ROOT))
+    subprocess.run(wheel, check=True, capture_output=True, timeout=BUILD_TIMEOUT_S)
+    (built,) = tmp_path.glob("gladegw-*.whl")
+    install = (*pip, "install", "--no-deps", "--target", str(target), str(built))
+    subprocess.run(install, check=True, capture_output=True, timeout=BUILD_TIMEOUT_S)
+    soaked = (sys.executable, "-m", "gladegw", "rig", "soak", "--seed", "1", "--servers", "8", "--json")
+    day = subprocess.run(
+        soaked,
+        cwd=tmp_path,
+        env=environ,
+        capture_output=True,
+        text=True,
+        timeout=BUILD_TIMEOUT_S,
+        check=False,
+    )
+    assert day.returncode == 0, day.stderr
+    assert len(json.loads(day.stdout)["runs"]) == 1
