Start the interrupted run of the test with SIGINT's default, and say what it does in the background

Seen: test_an_interrupt_leaves_no_process_and_whole_ledgers failed at times in whole runs: rig did not end in 60 s.

Cause: not load.

--- a/tests/rig/test_rig_sockets.py
+++ b/tests/rig/test_rig_sockets.py
@@ -377,6 +377,41 @@
     assert parents <= {run.id for run in of(Run, records) if run.tier == "middle"}
 
 
+def with_default_interrupt() -> None:
+    """In the child: a shell without job control starts what ends in `&` with SIGINT ignored."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
+def await_load(folder: Path) -> None:
+    """Until a run has sent requests for a while."""
+    due = time.monotonic() + PATIENCE
+    while time.monotonic() < due:
+        path = folder / "clients-0.jsonl"
+        if path.exists() and path.stat().st_size > 20_000:
+            break
+        time.sleep(0.05)
+
+
+def test_a_run_that_was_started_with_interrupts_ignored_ends_in_order_at_sigterm(tmp_path: Path) -> None:
+    """Guards against a run in the background that nothing but SIGKILL ends."""
+    file, folder = tmp_path / "s.hcl", tmp_path / "run"
+    file.write_text(BASE % 120, encoding="utf-8")
+    child = subprocess.Popen(
+        [sys.executable, "-m", "gladegw", "rig", "run", str(file), "--dir", str(folder)],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN),
+    )
+    await_load(folder)
+    os.kill(child.pid, signal.SIGINT)
+    time.sleep(1.0)
+    assert child.poll() is None and len(children_of(folder)) >= 3
+    child.terminate()
+    child.wait(PATIENCE)
+    until_alone(folder)
+
+
 def test_an_interrupt_leaves_no_process_and_whole_ledgers(tmp_path: Path) -> None:
     file = tmp_path / "s.hcl"
     file.write_text(BASE % 120, encoding="utf-8")
@@ -387,13 +422,9 @@
             cwd=ROOT,
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
+            preexec_fn=with_default_interrupt,
         )
-        due = time.monotonic() + PATIENCE
-        while time.monotonic() < due:
-            path = folder / "clients-0.jsonl"
-            if path.exists() and path.stat().st_size > 20_000:
-                break
-            time.sleep(0.05)
+        await_load(folder)
         assert len(children_of(folder)) >= 3
         os.kill(child.pid, number)
         child.wait(PATIENCE)
