Count a first attempt's objective from its arrival again, also in a fallback pool

The drained pool held the request until its objective was over (0.5 s); its fallback, with an idle server and 0.43 s to the deadline, refused it.

Evidence: printed at the rejection: useful_until 0.021 s past in the first pool, then 0.025 to 0.029 s past in the second, deadline 0.43 s ahead, empty queue.

Fix: the wait only tells a first attempt from a late retry, as it was meant.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -261,13 +261,11 @@
         budget that was below the typical one when the client sent it means that the client's total time is
         running out, so it shows how long the client has waited over earlier attempts. Prevents work for
         answers that come too late; the median instead of the maximum keeps a few unusual budgets from making
-        every first attempt look late. Time that a first attempt waited here is no earlier attempt of the
-        client: only that time is taken from its objective.
+        every first attempt look late. Time that a request waited here, or in another pool, is no earlier
+        attempt of the client.
         """
-        if self.settings.stage:
+        if self.settings.stage or budget + waited >= typical_budget - CONTROL_STEP_S:
             return cls.latency_objective
-        if budget + waited >= typical_budget - CONTROL_STEP_S:
-            return cls.latency_objective - waited
         return cls.latency_objective - (cls.deadline - budget)
 
     def enqueue(self, call: Call) -> None:
