--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -25,6 +25,7 @@
 
 PREFIX = "/malabar"
 TTL = 1  # s
+STATUS_INTERVAL_S = 0.2  # between two `gladegw rollout status`, each of which is a new process
 
 
 class Store:
@@ -143,6 +144,7 @@
             if wanted(found):
                 return found
             assert time.monotonic() < end, found
+            await asyncio.sleep(STATUS_INTERVAL_S)
 
 
 def held_by(name: str) -> Callable[[dict[str, Any]], bool]:
