Keep the hedge's share of the time in one place

HEDGE_FRACTION stood in member.py and policy_participant.py; hedged() takes the time in which an answer is of use and waits the third of it itself. No behaviour changed: the same product of the same two numbers.

--- a/gladegw/control/hedging.py
+++ b/gladegw/control/hedging.py
@@ -11,20 +11,23 @@
 
 T = TypeVar("T")
 
+HEDGE_FRACTION = 1 / 3  # of the time in which the answer is of use
 
-async def hedged(request: Callable[[StoreClient], Awaitable[T]], client: StoreClient, delay: float) -> T:
-    """Return the first answer to an idempotent request.
 
-    If `client` has not answered after `delay` seconds, the request is sent to its next endpoint too; if only
-    that one answers, `client` uses it from then on. If `delay` is not above 0, an answer comes too late for
-    what it was to save, and one request is enough. Raises StoreClientError if none is answered.
+async def hedged(request: Callable[[StoreClient], Awaitable[T]], client: StoreClient, time_left: float) -> T:
+    """Return the first answer to an idempotent request that is of use for `time_left` seconds.
+
+    If `client` has not answered after HEDGE_FRACTION of that time, the request is sent to its next endpoint
+    too; if only that one answers, `client` uses it from then on. If `time_left` is not above 0, an answer
+    comes too late for what it was to save, and one request is enough. Raises StoreClientError if none is
+    answered.
     """
-    if delay <= 0:
+    if time_left <= 0:
         return await request(client)
     other: StoreClient | None = None
     tasks = [asyncio.ensure_future(request(client))]
     try:
-        await asyncio.wait(tasks, timeout=delay)
+        await asyncio.wait(tasks, timeout=time_left * HEDGE_FRACTION)
         if not tasks[0].done():
             other = client.at_next_endpoint()
             tasks.append(asyncio.ensure_future(request(other)))
--- a/gladegw/control/member.py
+++ b/gladegw/control/member.py
@@ -46,7 +46,6 @@
 
 CLAIM_INTERVAL_S = 0.05  # head start of each member over the next one in the claim order
 METRICS_INTERVAL_S = 2.0  # between checks whether the own metrics have changed
-HEDGE_FRACTION = 1 / 3  # of a lease's rest, after which a second endpoint is asked to renew it
 MIN_LEASE_CHECK_INTERVAL_S = 0.02  # least interval between checks of the lease's bound
 HANDOVER_TIMEOUT_S = 1.5
 
@@ -282,8 +281,7 @@
 
     async def _renew(self) -> None:
         sent, id = self.clock(), self.lease.id
-        delay = (self.lease.until - sent) * HEDGE_FRACTION
-        ttl = await hedged(lambda client: client.keep_alive(id), self.client, delay)
+        ttl = await hedged(lambda client: client.keep_alive(id), self.client, self.lease.until - sent)
         self.lease = leases.renewed(self.lease, id, sent, ttl)
         if not self.lease.id:
             self._on_lease_expired()
--- a/gladegw/control/policy_participant.py
+++ b/gladegw/control/policy_participant.py
@@ -48,7 +48,6 @@
 PREPARE_RETRY_INTERVAL_S = 5.0  # after a committed policy could not be prepared
 CRASHED = "ended"  # first word of the reason for such a rejection
 RETRY_INTERVAL_S = 0.2  # after a request without an answer
-HEDGE_FRACTION = 1 / 3  # of the time for which the policy is certain, after which a second endpoint is asked
 
 Prepare = Callable[[Mapping[str, str]], Any]  # files to prepared tables; raises ValueError; runs in a thread
 Activate = Callable[[int, str, Any, Callable[[], None]], None]  # epoch, digest, prepared tables, callback
@@ -146,8 +145,8 @@
         """Read the policy records linearizably and process them; raises StoreClientError."""
         member, request = self.member, Get(*self.keys.policy)
         sent = member.clock()
-        delay = (self.confirmed_until - sent) * HEDGE_FRACTION
-        revision, found = await hedged(lambda client: client.get(request), member.client, delay)
+        time_left = self.confirmed_until - sent
+        revision, found = await hedged(lambda client: client.get(request), member.client, time_left)
         member.store_reached.set()
         by_key = {kv.key: kv for kv in found}
         keys = self.keys
