Share the tests' server in threads of its own

The server of test_stalls.py repeated that of test_watch_continuity.py; both extend ThreadedServer of tests/support now. No check, bound or answer changed.

--- a/tests/net/test_stalls.py
+++ b/tests/net/test_stalls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import socket
 import threading
@@ -27,6 +26,7 @@
     run,
     serve_ok,
 )
+from support.threaded_server import ThreadedServer
 
 from gladegw.balancing.events import Action, Event, Outcome, Timer
 from gladegw.balancing.parameters import CONTROL_STEP_S
@@ -36,30 +36,21 @@
 from gladegw.net.request import Request
 
 
-class HeldBackend:
-    """A backend in threads of its own: it goes on while the proxy's loop stands still."""
+class HeldBackend(ThreadedServer):
+    """A backend that answers once it is released, and the probes at once."""
 
     def __init__(self) -> None:
         self.received, self.released, self.answered = (threading.Event() for _ in range(3))
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "{}:{}".format(*self.listener.getsockname())
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                threading.Thread(target=self._serve, args=(self.listener.accept()[0],), daemon=True).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
-            while head := connection.recv(65536):
-                if head.startswith(b"GET /load"):
-                    connection.sendall(response(200, b"inflight=0,queue=0"))
-                    continue
-                self.received.set()
-                self.released.wait(PATIENCE)
-                connection.sendall(response(200, b"done"))
-                self.answered.set()
+        super().__init__(self._on_request)
+
+    def _on_request(self, connection: socket.socket, head: bytes) -> None:
+        if head.startswith(b"GET /load"):
+            connection.sendall(response(200, b"inflight=0,queue=0"))
+            return
+        self.received.set()
+        self.released.wait(PATIENCE)
+        connection.sendall(response(200, b"done"))
+        self.answered.set()
 
 
 class Reply:
@@ -96,7 +87,7 @@
     """Guards against shedding with idle servers: an answer that waited unread counted as a hung server's."""
     backend = HeldBackend()
     path = tmp_path / "config.json"
-    known = listing(1, endpoint("s-1", backend.address))
+    known = listing(1, endpoint("s-1", "{}:{}".format(*backend.address)))
     path.write_text(json.dumps(config("127.0.0.1:1", known, "127.0.0.1:2", quantum=0.0)))
     batches: list[list[type[Event]]] = []
 
--- a/tests/net/test_watch_continuity.py
+++ b/tests/net/test_watch_continuity.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import socket
 import threading
@@ -21,6 +20,7 @@
 
 import pytest
 from support.loopback import PATIENCE, endpoint, listing, response, run
+from support.threaded_server import ThreadedServer
 
 from gladegw.balancing.endpoint_freshness import MAX_PROCESSING_DELAY_S
 from gladegw.net.discovery import Discovery
@@ -30,28 +30,17 @@
 SLOW = 2.0  # s that it takes here until a list is taken
 
 
-class Server:
-    """Discovery in a thread, so that it goes on while the process under test is busy. `answer` gets the
-    connection and the number of the call on it."""
+class Server(ThreadedServer):
+    """Discovery. `answer` gets the connection and the number of the call."""
 
     def __init__(self, answer: Callable[[socket.socket, int], None]) -> None:
         self.answer = answer
         self.calls: list[tuple[float, str]] = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        host, port = self.listener.getsockname()[:2]
-        self.address = str(host), int(port)
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                threading.Thread(target=self._serve, args=(self.listener.accept()[0],), daemon=True).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
-            while head := connection.recv(65536):
-                self.calls.append((time.monotonic(), head.split(b" ")[1].decode()))
-                self.answer(connection, len(self.calls))
+        super().__init__(self._on_call)
+
+    def _on_call(self, connection: socket.socket, head: bytes) -> None:
+        self.calls.append((time.monotonic(), head.split(b" ")[1].decode()))
+        self.answer(connection, len(self.calls))
 
 
 def list_of(index: int, servers: int, status: str = "Ready", **how: Any) -> bytes:
--- /dev/null
+++ b/tests/support/threaded_server.py
@@ -0,0 +1,31 @@
+"""A server in threads of its own, which goes on while the process under test is busy or stands still."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+MAX_HEAD_BYTES = 65536
+
+
+class ThreadedServer:
+    """Hands each request, read in one piece, to `respond` with its connection."""
+
+    def __init__(self, respond: Callable[[socket.socket, bytes], None]) -> None:
+        self.respond = respond
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self.listener.getsockname()[:2]
+        self.address = str(host), int(port)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                threading.Thread(target=self._serve, args=(self.listener.accept()[0],), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError), connection:
+            while head := connection.recv(MAX_HEAD_BYTES):
+                self.respond(connection, head)
