Do not take a first attempt for a late retry because this process lags

Of the budget of 1 s the proxy itself had kept back 0.02 + 2 x its loop's lag, up to 0.15 s. Arrival.waited told only the wait before the request was read, so 0.83 s plus waited looked like less than the usual 0.96 s: a client that had tried before, whose objective is nearly over.

The deadline stays as it was.

Evidence: the new test, with 0.15 s of margin: budget and waited differed by 0.13 s before, where under 0.05 are allowed; it passes now. Looked for elsewhere: the driver is the only place that makes an Arrival.

--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -277,7 +277,7 @@
     key: str = ""  # the subject of the request, where it has one
     max_attempts: int = 0  # the route's limit, never above the settings'; 0: the settings' limit
     route_timeout: float = math.inf  # seconds that its route allows; the budget stays the client's own
-    waited: float = 0.0  # seconds that it waited here before it was read; the budget is what they left
+    waited: float = 0.0  # seconds of the budget that its wait to be read and this process's lag took
 
 
 @dataclass(slots=True)
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -261,11 +261,13 @@
         if request.id:  # a mirrored copy has none
             self.ids.add(request.id)
         now = time.monotonic()
-        left, waited = request.budget - margin - BALANCER_MARGIN_S, 0.0
+        left = request.budget - margin - BALANCER_MARGIN_S
+        waited = margin - MIN_MARGIN_S  # kept back for this process's own lag
         if not coming:  # its deadline starts with its last byte
             call.timer = self.loop.call_later(max(0.0, deadline - now), self._on_deadline, call)
-            waited = max(0.0, now - request.received_at)
-            left -= waited
+            unread = max(0.0, now - request.received_at)
+            waited += unread
+            left -= unread
         arrival = api.Arrival(
             call=number,
             cls=request.cls,
--- a/tests/net/test_stalls.py
+++ b/tests/net/test_stalls.py
@@ -28,10 +28,10 @@
 )
 from support.threaded_server import ThreadedServer
 
-from gladegw.balancing.events import Action, Event, Outcome, Timer
+from gladegw.balancing.events import Action, Arrival, Event, Outcome, Timer
 from gladegw.balancing.parameters import CONTROL_STEP_S
 from gladegw.net.config import load
-from gladegw.net.driver import Driver
+from gladegw.net.driver import MAX_MARGIN_S, Driver
 from gladegw.net.interfaces import FlowControl
 from gladegw.net.request import Request
 
@@ -83,6 +83,34 @@
             await asyncio.sleep(0.001)
 
 
+def test_what_a_lagging_loop_keeps_back_of_a_budget_is_told_as_time_spent_here(tmp_path: Path) -> None:
+    """Guards against refusing first attempts with idle servers: the lag made them look like retries."""
+    path = tmp_path / "config.json"
+    known = listing(1, endpoint("s-1", "127.0.0.1:1"))
+    path.write_text(json.dumps(config("127.0.0.1:1", known, "127.0.0.1:2", quantum=0.0)))
+    arrivals: list[Arrival] = []
+
+    async def test() -> None:
+        driver = Driver(load({"EDGE_CONFIG": str(path)}))
+
+        def recorded(now: float, events: list[Event]) -> list[Action]:
+            arrivals.extend(event for event in events if isinstance(event, Arrival))
+            return []
+
+        driver.balancer.handle = recorded  # type: ignore[method-assign]
+        for number, driver.lag in enumerate((0.0, MAX_MARGIN_S)):
+            head = b"GET /stock HTTP/1.1\r\nX-Call-Id: %d\r\n" % number
+            request = Request(b"%d" % number, "stock", 1.0, "", "", 0.0, False, head, time.monotonic(), True)
+            driver.on_request(request, Reply())
+        await until(lambda: len(arrivals) == 2)
+
+    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(test())
+    without_lag, with_lag = arrivals
+    assert with_lag.budget < without_lag.budget
+    sent = [arrival.budget + arrival.waited for arrival in arrivals]
+    assert abs(sent[0] - sent[1]) < CONTROL_STEP_S, arrivals
+
+
 def test_after_a_stall_answers_are_read_before_the_decisions_look_at_ages(tmp_path: Path) -> None:
     """Guards against shedding with idle servers: an answer that waited unread counted as a hung server's."""
     backend = HeldBackend()
