Send the request of the repeat's test once the proxy's watch is open

What was seen: beside 18 and more busy processes the case of test_a_repeat_does_not_begin... did not come in 80 s (twice). Time stamps (trial): the list with the second server was put while the proxy's first, short call was open, and the next one came 0.7 to 0.9 s later; or the next call came at once, but before the list of the last one was taken, and the first attempt failed before the second server was known.

Change: the request goes out when a long call is open, and the first attempt fails 0.1 s after the next one. Check, bounds and window as they were.

--- a/tests/net/test_attempts_sockets.py
+++ b/tests/net/test_attempts_sockets.py
@@ -100,13 +100,16 @@
             discovery.put(2, endpoint("s-1", one.address), endpoint("s-2", busy.address))
             while not (await discovery.asked.get()).startswith("/v1/servers?from=2"):
                 pass
+            await asyncio.sleep(0.1)  # the next call goes out before the list of the last one is taken
             writer.transport.abort()
 
         one.behave = vanish
         async with proxy({"s-1": one}, discovery, grades=grades, policy_limits=LONG_CONNECT) as node:
             caller = await node.caller()
-            caller.send("reserva", "1" * 16, budget="4000m")
             async with asyncio.timeout(PATIENCE):
+                while (await discovery.asked.get()).endswith("hold_ms=50"):
+                    pass  # behind the first call, a short one, the proxy makes a pause
+                caller.send("reserva", "1" * 16, budget="4000m")
                 connect = asyncio.create_task(busy.until_connect_is_lost())
                 answer = asyncio.create_task(caller.answer())
                 await asyncio.wait((connect, answer), return_when=asyncio.FIRST_COMPLETED)
