Count why requests are rejected and retried, discovery's answers and the list's age

Change: counters of rejections by reason, attempts by status, retries by the status before, calls to discovery by result, a gauge of the list's age; calls to discovery are numbered in the log, the answer to a call that opens a watch is logged, and so is each request that is sent by a list that nothing confirmed for half of its lease, with its id. The log line of an expired list tells the last failure. test_metrics: the exact set of counters has the new counter of attempts too.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -27,6 +27,7 @@
     Log,
     Outcome,
     ProbeResult,
+    RejectionReason,
     ServerList,
     SetTimer,
     Settings,
@@ -78,6 +79,11 @@
     "displaced",
     "tries",
 )
+REJECTION_REASONS = {
+    TOO_LATE: RejectionReason.TOO_LATE,
+    QUEUE_FULL: RejectionReason.QUEUE_FULL,
+    DISPLACED: RejectionReason.DISPLACED,
+}
 
 
 class Balancer:
@@ -250,7 +256,7 @@
         if admitted:
             self.enqueue(call)
         else:
-            self.reject(call)
+            self.reject(call, RejectionReason.SHED)
 
     def objective_left(
         self, cls: ClassState, budget: float, typical_budget: float, waited: float = 0.0
@@ -286,9 +292,9 @@
             max(CONTROL_STEP_S, RETRY_AFTER_FRACTION * self.admission.processing_time),
         )
 
-    def reject(self, call: Call) -> None:
+    def reject(self, call: Call, reason: RejectionReason) -> None:
         """Give the final answer to a call that gets no further attempt."""
-        self.lifecycle.answer(call, self.retry_after())
+        self.lifecycle.answer(call, self.retry_after(), reason)
 
     def on_client_disconnected(self, event: ClientDisconnected) -> None:
         """Drop a call whose client disconnected, and cancel its attempts."""
@@ -361,7 +367,7 @@
             self.retry_tokens -= 1
             self.enqueue(call)
         else:
-            self.reject(call)
+            self.reject(call, RejectionReason.ATTEMPTS_EXHAUSTED)
 
     def may_retry(self, call: Call) -> bool:
         """Return whether a call whose attempts have all failed may be queued for a further one."""
@@ -540,7 +546,12 @@
         if overdue != servers.overdue:
             servers.overdue = overdue
             age = now - self.freshness.current_as_of
-            self.log(f"endpoint list {'overdue' if overdue else 'current again'}: age_s={age:.3f}")
+            self.log(
+                f"endpoint list {'overdue' if overdue else 'current again'}: age_s={age:.3f} "
+                f"failures={self.freshness.consecutive_failures} "
+                f"last_failure={self.freshness.last_failure.value!r} polled_s_ago="
+                f"{now - self.freshness.polled_at:.3f}"
+            )
         servers.reachable = self.freshness.is_discovery_reachable
         for server in servers.withhold(now):
             self.log(
@@ -634,7 +645,7 @@
                         "tries": attempt_states(call),
                     }
                     self.observer(call.id, "start", inputs, TOO_LATE)
-                self.reject(call)
+                self.reject(call, RejectionReason.TOO_LATE)
                 continue
             if self.health_checks.awaits_candidate_probes(call, now):
                 position += 1
@@ -715,7 +726,7 @@
             else:
                 call.queued = False
                 if not call.in_flight:
-                    self.reject(call)
+                    self.reject(call, REJECTION_REASONS[verdict])
         self.queue[:] = retained
 
     def queue_verdict(self, call: Call, position: int, wait: float) -> str:
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -243,6 +243,17 @@
     started_at: float = 0.0  # 0: so long ago that it needs no warm-up
 
 
+class RejectionReason(Enum):
+    """Why a call gets no further attempt. The values are those of the metrics and the log."""
+
+    UNKNOWN = "unknown_request"  # its class is unknown, or it has no time left
+    SHED = "shed"  # by the admission threshold, or it arrived too late to be useful
+    TOO_LATE = "too_late"  # it could not be answered in time any more
+    QUEUE_FULL = "queue_full"  # the expected wait is longer than its useful time
+    DISPLACED = "displaced"  # calls of higher priority weight took its place in the queue
+    ATTEMPTS_EXHAUSTED = "attempts_exhausted"  # its attempts failed, and no further one is allowed
+
+
 class DiscoveryFailure(Enum):
     """How a call to discovery failed."""
 
@@ -377,6 +388,7 @@
 
     call: int
     retry_after: float = 0.0
+    reason: RejectionReason = field(default=RejectionReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
@@ -384,6 +396,7 @@
     """Fail a call that may have been executed."""
 
     call: int
+    reason: RejectionReason = field(default=RejectionReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
--- a/gladegw/balancing/requests.py
+++ b/gladegw/balancing/requests.py
@@ -8,7 +8,17 @@
 import math
 from typing import TYPE_CHECKING
 
-from gladegw.balancing.events import NEVER_RAN, Action, Effect, Fail, Reject, Send, ServerState, Settings
+from gladegw.balancing.events import (
+    NEVER_RAN,
+    Action,
+    Effect,
+    Fail,
+    Reject,
+    RejectionReason,
+    Send,
+    ServerState,
+    Settings,
+)
 from gladegw.balancing.parameters import CONTROL_STEP_S
 
 if TYPE_CHECKING:
@@ -191,7 +201,9 @@
             return math.inf
         return first.sent_at + call.cls.window - now
 
-    def answer(self, call: Call, retry_after: float = 0.0) -> None:
+    def answer(
+        self, call: Call, retry_after: float = 0.0, reason: RejectionReason = RejectionReason.UNKNOWN
+    ) -> None:
         """Give the final answer: a rejection if a retry by the client is safe, else a failure.
 
         `retry_after` is sent with a rejection (seconds; 0: none).
@@ -199,9 +211,9 @@
         if call.ended:
             return
         if self.may_reject(call):
-            self.actions.append(Reject(call.id, retry_after))
+            self.actions.append(Reject(call.id, retry_after, reason))
         else:
-            self.actions.append(Fail(call.id))
+            self.actions.append(Fail(call.id, reason))
         self.end(call)
 
     def reject_unknown(self, id: int) -> None:
--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -140,12 +140,15 @@
 class DiscoveryCall:
     """One pending call to discovery: its target and its deadline."""
 
-    def __init__(self, target: str, timeout: float, moves: int, continues_watch: bool = False) -> None:
+    def __init__(
+        self, target: str, timeout: float, moves: int, number: int, continues_watch: bool = False
+    ) -> None:
         """Create a call that begins now.
 
-        `timeout` is in seconds; `moves` is the number of address changes so far; `continues_watch` marks a
-        call that continues a watch, which does not queue at discovery.
+        `timeout` is in seconds; `moves` is the number of address changes so far; `number` identifies the call
+        in the log; `continues_watch` marks a call that continues a watch, which does not queue at discovery.
         """
+        self.number = number
         self.target, self.timeout, self.moves, self.continues_watch = target, timeout, moves, continues_watch
         self.begun_at = time.monotonic()
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None
@@ -186,16 +189,18 @@
         on_list: Callable[[Listing], None],
         on_failed: Callable[[DiscoveryFailure], None],
         inventory: EndpointInventory | None = None,
+        on_call_end: Callable[[str], None] = lambda result: None,
     ) -> None:
         """Create a client that makes no call yet.
 
         `inventory` holds the list of `version`, if one is known; `on_failed` is called with the kind of a
-        failure.
+        failure, `on_call_end` with the name of each call's result.
         """
         # Version None: no list from this address is known; 0 is a valid version.
         self.address, self.version = address, version
         self.hold = min(HOLD_FRACTION * max_poll_gap, MAX_HOLD_S)  # hold time of a watch call, in seconds
-        self.on_list, self.on_failed = on_list, on_failed
+        self.on_list, self.on_failed, self.on_call_end = on_list, on_failed, on_call_end
+        self.calls = 0  # number of calls made, which identifies the latest one in the log
         self.inventory = inventory or EndpointInventory()
         self.list_received = asyncio.Event()  # set once any list was received
         self.queued_call_timeout = FULL_LIST_TIMEOUT_S  # of a call that may queue at discovery
@@ -280,24 +285,31 @@
         finally:
             channel.close()
 
+    def _new_call(self, target: str, timeout: float, continues_watch: bool = False) -> DiscoveryCall:
+        """Create a call that begins now; `timeout` is in seconds."""
+        self.calls += 1
+        return DiscoveryCall(target, timeout, self.moves, self.calls, continues_watch)
+
     async def _send_watch_call(self, channel: _Channel) -> DiscoveryCall | None:
         """Send the next call of a watch; it requests a full snapshot if no version is known.
 
         None if that failed.
         """
         if self.version is None:
-            call = DiscoveryCall(LIST_PATH, self.queued_call_timeout, self.moves)
+            call = self._new_call(LIST_PATH, self.queued_call_timeout)
         else:
             hold = min(self.hold, MAX_HOLD_S if channel.up else FIRST_HOLD_S)
             timeout = ANSWER_TIMEOUT_S if channel.up else self.queued_call_timeout
             target = f"{LIST_PATH}?from={self.version}&hold_ms={int(hold * 1000)}"
-            call = DiscoveryCall(target, hold + timeout, self.moves, continues_watch=channel.up)
+            call = self._new_call(target, hold + timeout, continues_watch=channel.up)
         return await self._send(channel, call)
 
     async def _send(self, channel: _Channel, call: DiscoveryCall) -> DiscoveryCall | None:
         """Send a call; None if that failed."""
         if not channel.up:
-            log.info("discovery: sending a call on a new connection: target=%s", call.target)
+            log.info(
+                "discovery: sending a call on a new connection: target=%s call=%d", call.target, call.number
+            )
         try:
             call.answer = await channel.send(self.address, call.target)
         except (OSError, TimeoutError) as fault:
@@ -309,7 +321,7 @@
         """Fetch and deliver one full snapshot."""
         channel = _Channel()
         try:
-            call = await self._send(channel, DiscoveryCall(LIST_PATH, FULL_LIST_TIMEOUT_S, self.moves))
+            call = await self._send(channel, self._new_call(LIST_PATH, FULL_LIST_TIMEOUT_S))
             body = await self._receive(channel, call) if call is not None else None
             listing = (
                 self._apply_response(body, call, channel) if call is not None and body is not None else None
@@ -338,6 +350,15 @@
         except ValueError as fault:
             self._report_failure(call, fault)
             return None
+        self.on_call_end("answered")
+        if not call.continues_watch:
+            log.info(
+                "discovery: call answered: call=%d after_ms=%d version=%d changed=%d",
+                call.number,
+                1000 * (time.monotonic() - call.begun_at),
+                listing.version,
+                len(listing.backends),
+            )
         listing.current = call.moves == self.moves and not self.address_changing
         listing.as_of = channel.answer_began_at
         if call.moves == self.moves:
@@ -349,14 +370,16 @@
         return listing
 
     def _report_failure(self, call: DiscoveryCall, fault: Exception) -> None:
-        """Log and report a failed call."""
+        """Log, count and report a failed call."""
         log.warning(
-            "discovery: call failed: target=%s after_ms=%d version=%s reason=%s",
+            "discovery: call failed: target=%s call=%d after_ms=%d version=%s reason=%s",
             call.target,
+            call.number,
             1000 * (time.monotonic() - call.begun_at),
             self.version,
             str(fault) or type(fault).__name__,
         )
+        self.on_call_end(self._failure_kind(call, fault).name.lower())
         if call.moves == self.moves:
             if isinstance(fault, TimeoutError) and not call.continues_watch:
                 self.queued_call_timeout = LONG_ANSWER_TIMEOUT_S
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -26,6 +26,7 @@
 from gladegw.net.load_reports import read_report
 from gladegw.net.request import Request
 from gladegw.net.shared_resources import PendingRequest, SharedResources
+from gladegw.net.upstream.connections import Upstream
 from gladegw.net.upstream.exchange import ONE_LOOP_TURN_S, TIMER_LAG_S, Exchange
 from gladegw.operators.commands import BackendCounts
 
@@ -46,6 +47,11 @@
 DROPPED_HEADERS = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 
 
+def _status_name(status: api.Status | None) -> str:
+    """The name of an attempt's status in metrics."""
+    return "none" if status is None else status.name.lower()
+
+
 class EndpointSource(Protocol):
     """Source of a pool's endpoint lists, used in place of the pool's own discovery client."""
 
@@ -85,6 +91,7 @@
         self.flushed_at = 0.0
         self.lag = 0.0  # s, recent maximum delay of this event loop's timers
         self.on_empty: Callable[[], None] | None = None
+        self.shared.events.list_ages[pool] = self.list_age
         self.action_handlers: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
             api.Reject: self._reject,
@@ -109,7 +116,13 @@
         version = known.version if config.known else None
         max_poll_gap = config.settings.max_poll_gap
         self.discovery = Discovery(
-            config.discovery, version, max_poll_gap, self._on_list, self.list_failed, inventory
+            config.discovery,
+            version,
+            max_poll_gap,
+            self._on_list,
+            self.list_failed,
+            inventory,
+            self.shared.events.on_discovery_call,
         )
         self.upstreams.apply(known)
         if self.capture is not None:
@@ -197,6 +210,10 @@
         entries = [listed.entry for listed in listing.backends]
         return api.ServerList(kind, entries, listing.version, current=listing.current, age=listing.age)
 
+    def list_age(self) -> float:
+        """Seconds since discovery last confirmed the endpoint list."""
+        return time.monotonic() - self.balancer.freshness.current_as_of
+
     def _on_list(self, listing: Listing) -> None:
         """Apply a list from discovery."""
         self.upstreams.apply(listing)
@@ -379,6 +396,7 @@
                 log.error("call %d: the balancer sent a second attempt while one is in flight", call.number)
             self._push(api.Outcome(call.number, number, action.server, api.Status.NOT_SENT, 0.0, False))
             return
+        self._record_send(call, number, upstream)
         timeout = min(action.timeout, call.deadline - time.monotonic())
         request = call.request
         start_before = time.monotonic() + action.start_within
@@ -420,6 +438,21 @@
         call.exchange = self.in_flight[call.number] = exchange
         self.upstreams.start(exchange)
 
+    def _record_send(self, call: PendingRequest, number: int, upstream: Upstream) -> None:
+        """Count a further attempt, and log an attempt that relies on an old endpoint list."""
+        if number:
+            self.shared.events.on_retry(_status_name(call.last_status))
+        if self.balancer.freshness.is_going_stale(self.flushed_at):
+            host, port = upstream.address
+            log.info(
+                "request sent by an old endpoint list: id=%s attempt=%d server=%s:%d list_age_s=%.3f",
+                call.request.id.decode("latin-1"),
+                number,
+                host,
+                port,
+                self.list_age(),
+            )
+
     def _on_response_start(
         self, call: PendingRequest, number: int, server: int, exchange: Exchange, length: int | None
     ) -> bool:
@@ -460,7 +493,8 @@
         """Report the end of an attempt to the balancer, and answer if it succeeded."""
         status = exchange.status
         assert status is not None
-        call.exchange = None
+        call.exchange, call.last_status = None, status
+        self.shared.events.on_attempt_end(_status_name(status))
         self.in_flight.pop(call.number, None)
         if status not in api.NEVER_RAN:
             call.ran = True
@@ -488,6 +522,7 @@
         """Answer a request that the balancer sheds."""
         call = self.calls.get(action.call)
         if call is not None:
+            self.shared.events.on_rejection(action.reason.value)
             headers = ((b"retry-after", b"%.3f" % action.retry_after),) if action.retry_after > 0 else ()
             self._respond(call, 503, headers, b"refused\n")
 
@@ -495,6 +530,7 @@
         """Answer a request that the balancer has given up."""
         call = self.calls.get(action.call)
         if call is not None:
+            self.shared.events.on_rejection(action.reason.value)
             self._respond(call, 502, (), b"failed\n")
 
     def _cancel(self, action: api.Cancel) -> None:
--- a/gladegw/net/metrics.py
+++ b/gladegw/net/metrics.py
@@ -17,6 +17,7 @@
 from gladegw.net.background_writer import BackgroundWriter, Write, to_descriptor
 from gladegw.net.config import address
 from gladegw.net.interfaces import RequestInfo
+from gladegw.operators.event_counters import EventCounters
 
 log = logging.getLogger(__name__)
 
@@ -194,8 +195,11 @@
 class Metrics:
     """Request observer that sends a batch of metrics to each target at each flush."""
 
-    def __init__(self, settings: MetricsSettings, balancer_settings: Settings) -> None:
+    def __init__(
+        self, settings: MetricsSettings, balancer_settings: Settings, events: EventCounters | None = None
+    ) -> None:
         self.settings = settings
+        self.events = events or EventCounters()
         self.classes = {cls.name for cls in balancer_settings.classes}
         self.tenants = {tenant.name for tenant in balancer_settings.tenants}
         self.format: StatsD | LineFormat = StatsD() if settings.format == "statsd" else LineFormat()
@@ -265,6 +269,7 @@
             tags = self.format.tags((("class", gauge_key[0]), ("tenant", gauge_key[1])))
             batch.append(self.format.gauge("inflight", self.inflight[gauge_key], tags))
         self.changed_gauges.clear()
+        batch += self._event_lines()
         self.dropped += sum(target.take_lost() for target in self.targets)
         if self.dropped:
             batch.append(self.format.count("figures.dropped", self.dropped, ""))
@@ -273,6 +278,18 @@
             for target in self.targets:
                 target.writer.put(batch)
 
+    def _event_lines(self) -> list[bytes]:
+        """Return the counters of internal events and the gauges of the endpoint lists' ages."""
+        encoder = self.format
+        lines = [
+            encoder.count(event.counter, count, encoder.tags(((event.tag, event.value),)))
+            for event, count in self.events.take().items()
+        ]
+        for pool, age in self.events.list_ages.items():
+            tags = encoder.tags((("pool", pool),)) if pool else ""
+            lines.append(encoder.gauge("endpoint_list.age_ms", round(1000 * age()), tags))
+        return lines
+
     async def run(self) -> None:
         """Flush periodically until cancelled."""
         while True:
--- a/gladegw/net/routes.py
+++ b/gladegw/net/routes.py
@@ -196,7 +196,13 @@
         known_listing = Driver.known_list(config, inventory)
         version, max_poll_gap = known_listing.version if config.known else None, config.settings.max_poll_gap
         self.discovery = Discovery(
-            config.discovery, version, max_poll_gap, self._on_list, self._on_failed, inventory
+            config.discovery,
+            version,
+            max_poll_gap,
+            self._on_list,
+            self._on_failed,
+            inventory,
+            self.shared.events.on_discovery_call,
         )
         self._apply_listing(known_listing)
         text = read_file(settings.file)
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -183,7 +183,9 @@
 
     lifecycle.on_change = on_state_change
     observers: list[RequestObserver[RequestInfo]] = []
-    metrics = Metrics(features.figures, config.settings) if features.figures is not None else None
+    metrics = None
+    if features.figures is not None:
+        metrics = Metrics(features.figures, config.settings, driver.shared.events)
     if metrics is not None:
         observers.append(metrics)
     if timing is not None:
--- a/gladegw/net/shared_resources.py
+++ b/gladegw/net/shared_resources.py
@@ -7,6 +7,7 @@
 from collections.abc import Set as AbstractSet
 from typing import TYPE_CHECKING
 
+from gladegw.balancing.events import Status
 from gladegw.limits.buffer_budget import chunk_bytes
 from gladegw.limits.descriptor_budget import split_descriptors
 from gladegw.net.config import Config
@@ -15,6 +16,7 @@
 from gladegw.net.upstream.connections import UpstreamPool
 from gladegw.net.upstream.exchange import Exchange
 from gladegw.operators.commands import BackendCounts
+from gladegw.operators.event_counters import EventCounters
 from gladegw.operators.request_counters import RequestCounters
 
 if TYPE_CHECKING:
@@ -29,6 +31,7 @@
         "deadline",
         "driver",
         "exchange",
+        "last_status",
         "number",
         "open",
         "ran",
@@ -48,6 +51,7 @@
         self.ran = False  # a backend may have run it
         self.streaming = False  # a part of the response was sent
         self.exchange: Exchange | None = None
+        self.last_status: Status | None = None  # of the latest attempt that ended
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -67,6 +71,7 @@
         self.budget = split_descriptors(config.sockets, open_descriptors(), config.admin is not None)
         self.upstreams = UpstreamPool(settings.connect_timeout, settings.conn_idle, self.budget.upstreams)
         self.counters = RequestCounters(cls.name for cls in settings.classes)
+        self.events = EventCounters()
         self.scratch = memoryview(bytearray(chunk_bytes(config.memory, self.budget.clients)))
         self.upstreams.scratch = self.scratch
         self.ids: set[bytes] = set()  # identifiers of open requests and of attempts in flight
--- a/tests/net/test_metrics.py
+++ b/tests/net/test_metrics.py
@@ -198,7 +198,8 @@
             "class:other,tenant:other,code:404": 1,
             "class:other,tenant:other,code:400": 1,
         }
-        assert counts == {f"{n} {tags}": c for tags, c in expected.items() for n in ("requests", "answers")}
+        by_request = {f"{n} {tags}": c for tags, c in expected.items() for n in ("requests", "answers")}
+        assert counts == {**by_request, "attempts status:ok": 1}
         assert gauges and set(gauges.values()) == {0}
 
     run(test())
