Reproduce late requests to draining servers on real processes, as failing tests

Change: tests/net/test_expired_lists.py, one real proxy a case before four servers of which three drain and complete requests: discovery rejects after 0.86 s or at once, is silent, never reads, resets, answers byte by byte or late; draining servers answer probes, fail them, or probes are not allowed. Five more cases stop the proxy (SIGSTOP) before, in and after an answer, until the drain counts as known, and over SIGHUP. The new log line is limited to five a second.

--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -44,6 +44,7 @@
 LARGE_RESPONSE_STALL_S = 2.0
 UNKNOWN_LENGTH_STALL_S = 1.0  # while a response of unknown length is not large yet
 STREAM_CHECK_INTERVAL_S = 0.05  # between checks for progress after the deadline
+MAX_OLD_LIST_LINES_PER_S = 5  # log lines of requests sent by an old endpoint list
 DROPPED_HEADERS = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
 
 
@@ -52,6 +53,23 @@
     return "none" if status is None else status.name.lower()
 
 
+class LogRateLimit:
+    """Limits how many lines of one kind are logged in each second."""
+
+    def __init__(self, max_lines_per_s: int) -> None:
+        self.max_lines_per_s = max_lines_per_s
+        self.began_at = -math.inf  # of the current second
+        self.lines = 0  # in the current second
+
+    def take(self) -> bool:
+        """Return whether a line may be logged now, and count it."""
+        now = time.monotonic()
+        if now >= self.began_at + 1.0:
+            self.began_at, self.lines = now, 0
+        self.lines += 1
+        return self.lines <= self.max_lines_per_s
+
+
 class EndpointSource(Protocol):
     """Source of a pool's endpoint lists, used in place of the pool's own discovery client."""
 
@@ -91,6 +109,7 @@
         self.flushed_at = 0.0
         self.lag = 0.0  # s, recent maximum delay of this event loop's timers
         self.on_empty: Callable[[], None] | None = None
+        self.old_list_lines = LogRateLimit(MAX_OLD_LIST_LINES_PER_S)
         self.shared.events.list_ages[pool] = self.list_age
         self.action_handlers: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
@@ -442,7 +461,7 @@
         """Count a further attempt, and log an attempt that relies on an old endpoint list."""
         if number:
             self.shared.events.on_retry(_status_name(call.last_status))
-        if self.balancer.freshness.is_going_stale(self.flushed_at):
+        if self.balancer.freshness.is_going_stale(self.flushed_at) and self.old_list_lines.take():
             host, port = upstream.address
             log.info(
                 "request sent by an old endpoint list: id=%s attempt=%d server=%s:%d list_age_s=%.3f",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,7 @@
         "policy_sockets",
         "fleet_steps",
         "simulate",
+        "expired_lists",
     )
 )
 
--- /dev/null
+++ b/tests/net/test_expired_lists.py
@@ -0,0 +1,227 @@
+"""Servers begin to drain, and no proxy can be told: nothing is sent by a list that may lack a known drain.
+
+Guards against requests to a server whose drain counts as known (report 58289b): a call to discovery that had
+waited was rejected and repeated 6.3 s later, and until then the proxy went on with servers that still
+answered requests, or probes, as a draining server may. A drain counts as known 6 s after discovery had it, or
+once discovery has written it to the proxy, also while the proxy stands still.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+from support.faulty_discovery import CallFault, FaultyDiscovery
+from support.loopback import SETTINGS, Caller, run
+from support.proxies import Proxies, proxies
+
+from gladegw.rig.nodes.many import ManyServers
+
+SERVERS = 4
+DRAINED = {0, 1, 2}
+REQUEST_TIME_S = 0.02  # that a server takes for a request
+REQUEST_INTERVAL_S = 0.05  # between two requests of a client
+CLIENTS = 4
+KNOWN_WITHIN_S = 6.0  # after which a change counts as known
+KNOWN_AFTER_MOVE_S = 4.0  # the same, from SIGHUP
+DRAIN_GRACE_S = 0.55  # of a drain, including slack for the sockets
+WATCHED_S = 10.0  # from the drain to the end of the faults
+RECOVERED_WITHIN_S = 8.0  # from the end of the faults until requests are served again
+BURST = 24  # requests that wait at a proxy that stands still
+CONTRACT = {**SETTINGS["contract"], "drain_grace": 0.5}
+
+
+@dataclass(frozen=True)
+class Case:
+    """One proxy's surroundings once its watch has stalled and three of its four servers drain."""
+
+    fault: CallFault
+    probes: bool  # whether probes are allowed
+    healthy: bool  # whether a draining server answers probes as before
+
+    def __str__(self) -> str:
+        probed = ("answers probes" if self.healthy else "fails probes") if self.probes else "no probes"
+        return f"{self.fault.value}, {probed}"
+
+
+@dataclass
+class Surroundings:
+    """A proxy with its servers, clients and discovery."""
+
+    servers: ManyServers
+    discovery: FaultyDiscovery
+    fleet: Proxies
+
+    async def drain(self) -> float:
+        """Let three servers drain; returns when."""
+        at = time.monotonic()
+        await self.discovery.publish(self.servers.drain(DRAINED, 2))
+        return at
+
+    def late(self, since: float) -> list[float]:
+        """Seconds from `since` to each request that came to a draining server later."""
+        return [one.at - since for one in self.servers.calls_to(DRAINED, since)]
+
+    def stop_proxy(self) -> None:
+        self.fleet.processes[0].send_signal(signal.SIGSTOP)
+
+    def continue_proxy(self) -> None:
+        self.fleet.processes[0].send_signal(signal.SIGCONT)
+
+    async def burst(self) -> list[asyncio.Task[Any]]:
+        """Write requests on new connections, which the proxy reads together once it goes on."""
+        callers = [Caller(*await asyncio.open_connection(*self.fleet.addresses[0])) for _ in range(BURST)]
+        tasks = []
+        for number, caller in enumerate(callers):
+            caller.send("stock", f"{number:016x}")
+            tasks.append(asyncio.create_task(caller.answer()))
+        return tasks
+
+
+@asynccontextmanager
+async def surroundings(probes: bool = True, healthy: bool = True) -> AsyncIterator[Surroundings]:
+    """Start a proxy with a settled watch; a draining server completes requests as before."""
+    servers, discovery = await ManyServers(SERVERS, REQUEST_TIME_S).start(), await FaultyDiscovery().start()
+    servers.rejects, servers.healthy_draining = False, healthy
+    limits = {**SETTINGS["policy_limits"], "probes": probes}
+    async with proxies(1, servers, discovery, contract=CONTRACT, policy_limits=limits) as fleet:
+        address = fleet.addresses[0]
+        clients = [asyncio.create_task(fleet.ask(address, REQUEST_INTERVAL_S)) for _ in range(CLIENTS)]
+        await asyncio.sleep(1.5)
+        yield Surroundings(servers, discovery, fleet)
+        for task in clients:
+            task.cancel()
+    servers.stop()
+
+
+async def play(case: Case) -> str:
+    """Play a case; returns what was wrong, if anything."""
+    async with surroundings(case.probes, case.healthy) as around:
+        around.discovery.fail_calls(case.fault)
+        drained_at = await around.drain()
+        await asyncio.sleep(WATCHED_S)
+        late = around.late(drained_at + KNOWN_WITHIN_S + DRAIN_GRACE_S)
+        around.discovery.fail_calls(CallFault.NONE)
+        await asyncio.sleep(RECOVERED_WITHIN_S - 1.0)
+        served = len(around.fleet.codes)
+        await asyncio.sleep(1.0)
+        recovered = 200 in around.fleet.codes[served:]
+    if late:
+        return f"{case}: {len(late)} late requests, from {late[0]:.2f} s after the grace on"
+    return "" if recovered else f"{case}: no request is served again"
+
+
+CASES = [
+    Case(fault, probes, healthy)
+    for fault in CallFault
+    if fault is not CallFault.NONE
+    for probes, healthy in ((True, True), (True, False), (False, False))
+]
+
+
+@pytest.mark.parametrize("part", range(3))
+def test_no_request_follows_a_list_that_may_lack_a_known_drain(part: int) -> None:
+    async def test() -> None:
+        found = await asyncio.gather(*(play(case) for case in CASES[part::3]))
+        assert not any(found), "\n".join(filter(None, found))
+
+    run(test())
+
+
+async def stopped_before_an_answer(around: Surroundings) -> list[float]:
+    """Discovery tells the drain while the proxy stands still and requests wait at it."""
+    await around.discovery.next_call()
+    around.stop_proxy()
+    await asyncio.sleep(0.3)
+    await around.drain()
+    await asyncio.sleep(2.0)
+    burst = await around.burst()
+    around.continue_proxy()
+    await asyncio.gather(*burst)
+    return around.late(around.discovery.written_at[0] + DRAIN_GRACE_S)
+
+
+async def stopped_in_an_answer(around: Surroundings) -> list[float]:
+    """The same, with the first half of the answer read before."""
+    around.discovery.rest_released = asyncio.Event()
+    await around.discovery.next_call()
+    await around.drain()
+    await asyncio.sleep(0.1)
+    around.stop_proxy()
+    await asyncio.sleep(0.3)
+    around.discovery.rest_released.set()
+    await asyncio.sleep(2.0)
+    burst = await around.burst()
+    around.continue_proxy()
+    await asyncio.gather(*burst)
+    return around.late(around.discovery.written_at[0] + DRAIN_GRACE_S)
+
+
+async def stopped_after_an_answer(around: Surroundings) -> list[float]:
+    """An answer without changes is read 3 s after it was written; what follows it is not told."""
+    await around.discovery.next_call()
+    around.stop_proxy()
+    await asyncio.sleep(1.0)
+    around.discovery.fail_calls(CallFault.REJECTED_AFTER_WAIT)
+    drained_at = await around.drain()
+    await asyncio.sleep(3.0)
+    around.continue_proxy()
+    await asyncio.sleep(KNOWN_WITHIN_S + 2.0)
+    return around.late(drained_at + KNOWN_WITHIN_S + DRAIN_GRACE_S)
+
+
+async def stopped_until_a_drain_counts_as_known(around: Surroundings) -> list[float]:
+    """The watch has stalled, but the proxy stands still and notices nothing."""
+    around.discovery.fail_calls(CallFault.REJECTED_AFTER_WAIT)
+    around.stop_proxy()
+    drained_at = await around.drain()
+    await asyncio.sleep(KNOWN_WITHIN_S + DRAIN_GRACE_S)
+    burst = await around.burst()
+    around.continue_proxy()
+    await asyncio.gather(*burst)
+    return around.late(drained_at + KNOWN_WITHIN_S + DRAIN_GRACE_S)
+
+
+async def stopped_over_an_address_change(around: Surroundings) -> list[float]:
+    """SIGHUP is handled 3 s late, and the new address of discovery answers nothing."""
+    silent = await FaultyDiscovery().start()
+    silent.fault = CallFault.SILENT
+    around.stop_proxy()
+    path = around.fleet.configs[0]
+    path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": silent.address}))
+    around.fleet.processes[0].send_signal(signal.SIGHUP)
+    changed_at = time.monotonic()
+    around.servers.drain(DRAINED, 2)
+    await asyncio.sleep(3.0)
+    around.continue_proxy()
+    await asyncio.sleep(KNOWN_AFTER_MOVE_S + 1.0)
+    return around.late(changed_at + KNOWN_AFTER_MOVE_S + DRAIN_GRACE_S)
+
+
+async def play_stopped(case: Callable[[Surroundings], Awaitable[list[float]]]) -> str:
+    async with surroundings() as around:
+        late = await case(around)
+    return f"{case.__name__}: {len(late)} late requests, from {late[0]:.2f} s on" if late else ""
+
+
+def test_no_request_follows_a_list_that_expired_while_the_proxy_stood_still() -> None:
+    cases = (
+        stopped_before_an_answer,
+        stopped_in_an_answer,
+        stopped_after_an_answer,
+        stopped_until_a_drain_counts_as_known,
+        stopped_over_an_address_change,
+    )
+
+    async def test() -> None:
+        found = await asyncio.gather(*(play_stopped(case) for case in cases))
+        assert not any(found), "\n".join(filter(None, found))
+
+    run(test())
