Stop sending by an endpoint list that may lack a drain that counts as known

Cause: a list is a lease, but its end was not enforced. While a call to discovery had waited and was rejected, servers that completed calls (probes forbidden) or answered probes counted as not draining; with none of them verified all were used; and without a failed call the list never expired, so not in a process that had stood still. Change: an expired list is used for nothing, whatever servers answer, and whether or not a call has failed. Requests are then refused within 0.15 s, with the time to come back. Only where every call was rejected after a wait, as in an outage, are servers used that answer probes, if probes are allowed and no draining server has been seen to answer one; up to three draining servers are probed for that. An attempt may not begin after the lease, told as Send.start_within, which counts from the batch now and not from when the action is executed. A watch that ends with a rejection counts as an outage however soon that is.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -29,6 +29,7 @@
     ProbeResult,
     RejectionReason,
     ServerList,
+    ServerState,
     SetTimer,
     Settings,
     Stalled,
@@ -67,6 +68,9 @@
 IDLE_TRUST_GROWTH_S = 15.0  # time constant of the growth of the trusted idle time
 # Above this cost of a new connection, in mean latencies, an untrusted idle connection is used instead.
 EXPENSIVE_CONNECT_LATENCIES = 1.5
+# Time for which a call waits for an update while the list is expired: an update may be unread after a stall.
+EXPIRED_LIST_WAIT_S = 0.1
+MIN_UPDATE_WAIT_S = 0.25  # from the begin of a call to discovery to its answer, for the retry delay
 CONNECT_SAMPLES = 30  # samples over which the costs of new and of open connections are averaged
 RETRY_AFTER_FRACTION = 0.25  # retry delay sent to clients, as a fraction of the processing time
 TICK_TOKEN = 1  # token of the control step's timer
@@ -114,7 +118,11 @@
         self.stalled = False  # the instance itself paused before this batch
         self.timer_set = False  # the timer of the next control step is pending
         self.freshness = EndpointFreshness(
-            self.random, settings.polls_endpoints, settings.drain_grace, settings.connect_timeout
+            self.random,
+            settings.polls_endpoints,
+            settings.drain_grace,
+            settings.connect_timeout,
+            settings.watch_is_confirmed,
         )
         self.servers.verified_for = self.freshness.valid_for
         self.health_checks = HealthChecker(
@@ -152,6 +160,7 @@
             self.start()
         elif now - self.last_step >= CONTROL_STEP_S - 1e-9:
             self.control_step()
+        self.check_list_age()
         for call in new_calls:
             if not call.ended:  # the client may disconnect within the same batch
                 self.admit(call)
@@ -282,15 +291,15 @@
     def retry_after(self) -> float:
         """Return the seconds after which a rejected client should retry; 0: no hint is sent.
 
-        By then the calls that now fill the window should have been answered. Without a hint clients retry
-        sooner, during the same overload.
+        By then the calls that now fill the window should have been answered, and an expired list can have
+        been updated. Without a hint clients retry sooner, during the same overload.
         """
         if not self.settings.may_send_retry_after:
             return 0.0
-        return min(
-            self.settings.max_retry_after,
-            max(CONTROL_STEP_S, RETRY_AFTER_FRACTION * self.admission.processing_time),
-        )
+        delay = max(CONTROL_STEP_S, RETRY_AFTER_FRACTION * self.admission.processing_time)
+        if self.servers.list_expired:
+            delay = max(delay, self.freshness.next_answer_in(self.now) + MIN_UPDATE_WAIT_S)
+        return min(self.settings.max_retry_after, delay)
 
     def reject(self, call: Call, reason: RejectionReason) -> None:
         """Give the final answer to a call that gets no further attempt."""
@@ -333,8 +342,7 @@
         busy = self.window_in_use
         server.in_flight -= 1
         if status == Status.REJECTED:
-            # A draining server rejects calls too, so the server is no longer verified as not draining.
-            server.healthy_at = server.completed_at = -math.inf
+            server.healthy_at = -math.inf  # a draining server may reject calls
         if status != Status.NOT_SENT:
             server.sent_since_report -= 1
         if status == Status.OK:
@@ -387,7 +395,6 @@
             # the window nor eject the server. Drawback: a slow server is noticed one batch later.
             if status == Status.OK:
                 server.last_ok = now
-                server.completed_at = max(server.completed_at, attempt.sent_at)
             return
         elapsed = max(elapsed, MIN_LATENCY_S)
         self.update_admission(attempt, status, elapsed, busy)
@@ -448,7 +455,6 @@
         servers.errors.add(float(failed), 100)
         if ok:
             server.last_ok = now
-            server.completed_at = max(server.completed_at, attempt.sent_at)
             server.slow_streak = server.fail_streak = 0
             if server.on_trial:
                 server.on_trial = False
@@ -489,10 +495,12 @@
         if server is None:
             return
         server.probe_pending = False
-        if event.status == Status.OK:
+        if server.state is ServerState.DRAINING:
+            self.on_draining_server_probed(server, event)
+        elif event.status == Status.OK:
             server.fail_streak = 0
-            # A draining server answers probes with 503, so it was not draining when the probe was sent.
-            server.healthy_at = max(server.healthy_at, self.now - event.elapsed)
+            sent_at = self.now - event.elapsed if event.sent_at is None else event.sent_at
+            server.healthy_at = max(server.healthy_at, sent_at)
             self.servers.report(server, event.report, self.now)
             if server.ejected_until and self.now >= server.ejected_until:
                 self.servers.readmit(server, self.now)
@@ -505,6 +513,12 @@
             elif server.fail_streak >= 2 and server.last_ok < self.now - self.servers.mean_latency:
                 self.eject(server, hard=True)
 
+    def on_draining_server_probed(self, server: Server, event: ProbeResult) -> None:
+        """Learn from a probe sent to a draining server whether probes reveal that a server drains."""
+        if event.status == Status.OK and self.servers.probes_reveal_drains:
+            self.servers.probes_reveal_drains = False
+            self.log(f"server {server.id} drains and answers a probe: probes do not reveal drains here")
+
     # the control step
     def control_step(self) -> None:
         """Run the periodic updates: rates, latency targets, polls, health checks and the threshold."""
@@ -530,7 +544,6 @@
             self.settings.conn_idle, servers.trusted_idle * (1 + span / IDLE_TRUST_GROWTH_S)
         )
         self.health_checks.recover_ejected(now)
-        self.check_list_age()
         self.health_checks.probe(now, span)
         admission.update_threshold()
 
@@ -540,23 +553,20 @@
             self.actions.append(Watch(True))
 
     def check_list_age(self) -> None:
-        """Withhold servers while updates of the endpoint list are overdue, and log each change."""
-        servers, now = self.servers, self.now
-        overdue = self.freshness.is_expired(now)
-        if overdue != servers.overdue:
-            servers.overdue = overdue
-            age = now - self.freshness.current_as_of
-            self.log(
-                f"endpoint list {'overdue' if overdue else 'current again'}: age_s={age:.3f} "
-                f"failures={self.freshness.consecutive_failures} "
-                f"last_failure={self.freshness.last_failure.value!r} polled_s_ago="
-                f"{now - self.freshness.polled_at:.3f}"
-            )
-        servers.reachable = self.freshness.is_discovery_reachable
-        for server in servers.withhold(now):
+        """Withhold servers while the endpoint list is expired, and log each change."""
+        servers, freshness, now = self.servers, self.freshness, self.now
+        expired = freshness.is_expired(now)
+        if not expired and not servers.list_expired:
+            return
+        expiry_changed = expired != servers.list_expired
+        servers.list_expired, servers.outage_possible = expired, freshness.outage_possible
+        if servers.withhold(now) or expiry_changed:
             self.log(
-                f"server {server.id} withheld={server.withheld}: healthy_s_ago={now - server.healthy_at:.3f} "
-                f"took_s_ago={now - server.completed_at:.3f} reachable={servers.reachable}"
+                f"endpoint list {'expired' if expired else 'current again'}: "
+                f"age_s={now - freshness.current_as_of:.3f} failures={freshness.consecutive_failures} "
+                f"last_failure={freshness.last_failure.value!r} polled_s_ago={now - freshness.polled_at:.3f} "
+                f"outage_possible={servers.outage_possible} withheld={sum(s.withheld for s in servers.pool)} "
+                f"servers={len(servers.pool)}"
             )
 
     def log(self, text: str) -> None:
@@ -682,7 +692,7 @@
             self.actions.append(CloseIdle(server.id))
             idle, server.used_at = 0.0, -math.inf
         opens_connection = server.used_at < now - self.settings.conn_idle
-        attempt = self.lifecycle.send(call, server, now, until - now, load)
+        attempt = self.lifecycle.send(call, server, now, until - now, load, self.start_before(server))
         if attempt is None:
             return
         self.in_flight[(call.id, attempt.number)] = attempt
@@ -694,6 +704,15 @@
         self.window_in_use += 1
         self.sends += 1
 
+    def start_before(self, server: Server) -> float:
+        """Return when an attempt at a server may no longer begin; a connect can delay it."""
+        if not self.settings.watch_is_confirmed:
+            return math.inf
+        verified_until = self.freshness.expires_at
+        if self.servers.list_expired:
+            verified_until = server.healthy_at + self.servers.verified_for
+        return verified_until + self.settings.connect_timeout
+
     def mean_call_equivalents(self, call: Call) -> float:
         """Return the call's expected work in calls of mean latency, the unit of slow-start budgets."""
         return call.cls.mean.value / self.servers.mean_latency if self.admission.latency.count else 1.0
@@ -708,6 +727,11 @@
         wait = self.admission.processing_time / self.admission.limit
         retained: list[Call] = []
         for call in self.queue:
+            if self.servers.list_expired and self.now - call.arrived >= EXPIRED_LIST_WAIT_S:
+                call.queued = False
+                if not call.in_flight:
+                    self.reject(call, RejectionReason.LIST_EXPIRED)
+                continue
             verdict = self.queue_verdict(call, len(retained), wait)
             if self.observer is not None and (verdict != QUEUED or call.queue_position is None):
                 inputs = {
--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -1,7 +1,10 @@
 """Endpoint freshness: when discovery is polled again, and whether the endpoint list is still valid.
 
-All times are in seconds. An endpoint list is valid for a limited time, like a lease: a change counts as known
-to the instance some seconds after discovery had it, even if every call that would have reported it failed.
+All times are in seconds. An endpoint list is a lease: a change counts as known to the instance some seconds
+after discovery had it, even if every call that would have reported it failed. Only an update from discovery
+renews the lease. A server's answers don't, since a draining server may answer requests and probes as before;
+nor does a failed call, since an outage of discovery can't be told from overload. What may be used meanwhile
+is decided by ServerSelector.withhold.
 Pure: no I/O, no clock.
 """
 
@@ -32,12 +35,20 @@
 class EndpointFreshness:
     """Poll schedule of one instance and the age of its endpoint list."""
 
-    def __init__(self, random: Random, polls: bool, drain_grace: float, connect_timeout: float) -> None:
+    def __init__(
+        self,
+        random: Random,
+        polls: bool,
+        drain_grace: float,
+        connect_timeout: float,
+        watch_is_confirmed: bool = False,
+    ) -> None:
         """Set up the schedule.
 
         `polls`: whether the instance opens the watch itself. `drain_grace` and `connect_timeout` come from
-        the settings, in seconds.
+        the settings, in seconds, as does `watch_is_confirmed`.
         """
+        self.watch_is_confirmed = watch_is_confirmed
         self.random = random
         self.watching = not polls
         # All instances poll the same discovery; a pushed list comes from the instance's own agent.
@@ -48,10 +59,11 @@
         self.current_as_of = 0.0  # no change before this time can have been missed
         self.address_changed_at = math.inf  # finite until discovery's new address answers
         self.polled_at = -math.inf  # start of the watch or of its current call
-        # With a longer validity a call could begin after a server's drain grace has ended.
-        self.valid_for = max(
-            MIN_VALIDITY_S, CHANGE_KNOWN_AFTER_S + drain_grace - connect_timeout - MAX_PROCESSING_DELAY_S
-        )
+        # How long calls may be sent after a drain counts as known: later ones could begin after its grace.
+        self.send_margin = drain_grace - connect_timeout - MAX_PROCESSING_DELAY_S
+        self.valid_for = max(MIN_VALIDITY_S, CHANGE_KNOWN_AFTER_S + self.send_margin)
+        # All calls since the last update failed as they do while discovery is down.
+        self.outage_possible = False
 
     def start(self, now: float, max_poll_gap: float) -> None:
         """Schedule the first poll at a random time, because all instances may start at once."""
@@ -65,6 +77,7 @@
         """
         if by_discovery:
             self.consecutive_failures = 0
+            self.outage_possible = False
             self.polled_at = now
             self.address_changed_at = math.inf
         self.current_as_of = max(self.current_as_of, now - age)
@@ -80,6 +93,8 @@
         so that only the time of the last update counts.
         """
         self.watching = False
+        is_first = not self.consecutive_failures
+        self.outage_possible = (is_first or self.outage_possible) and failure is DiscoveryFailure.REJECTED
         if not self.consecutive_failures:
             self.current_as_of = max(self.current_as_of, now - missed_for)
         self.consecutive_failures += 1
@@ -102,6 +117,7 @@
     def inherit(self, other: EndpointFreshness) -> None:
         """Copy the age of the list from an instance that has followed the same discovery."""
         self.consecutive_failures, self.last_failure = other.consecutive_failures, other.last_failure
+        self.outage_possible = other.outage_possible
         self.current_as_of, self.address_changed_at = other.current_as_of, other.address_changed_at
 
     def should_poll(self, now: float) -> bool:
@@ -115,28 +131,28 @@
     @property
     def expires_at(self) -> float:
         """When the list expires without an update: from then on it may lack a drain that counts as known."""
-        expires_after_move = (
-            self.address_changed_at + CHANGE_KNOWN_AFTER_MOVE_S - CHANGE_KNOWN_AFTER_S + self.valid_for
-        )
+        expires_after_move = self.address_changed_at + CHANGE_KNOWN_AFTER_MOVE_S + self.send_margin
         return min(self.current_as_of + self.valid_for, expires_after_move)
 
     @property
-    def is_watched(self) -> bool:
-        """Whether a watch is open, as far as is known.
-
-        A watch that stops sending is failed before the list expires.
-        """
+    def is_watched_silently(self) -> bool:
+        """Whether a watch is open, as far as is known, that reports nothing while nothing changes."""
+        if self.watch_is_confirmed:
+            return False
         return not self.consecutive_failures and math.isinf(self.address_changed_at)
 
     def is_going_stale(self, now: float) -> bool:
-        """Return whether there is no watch and less than half of the list's validity is left."""
-        return not self.is_watched and now > self.expires_at - self.valid_for / 2
+        """Return whether less than half of the list's validity is left."""
+        return not self.is_watched_silently and now > self.expires_at - self.valid_for / 2
 
     def is_expired(self, now: float) -> bool:
-        """Return whether there is no watch and the list's validity has passed."""
-        return not self.is_watched and now > self.expires_at
+        """Return whether the list's validity has passed.
 
-    @property
-    def is_discovery_reachable(self) -> bool:
-        """Whether discovery is up but rejects calls, so that its changes count as known."""
-        return self.consecutive_failures > 0 and self.last_failure is DiscoveryFailure.REJECTED_IMMEDIATELY
+        A watch that is confirmed in short intervals needs no failed call for that: a process that stalls
+        notices no failure.
+        """
+        return not self.is_watched_silently and now > self.expires_at
+
+    def next_answer_in(self, now: float) -> float:
+        """Return the seconds until the next call to discovery begins; 0 if one is pending."""
+        return 0.0 if self.watching else max(0.0, self.next_poll_at - now)
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -145,6 +145,9 @@
     quantum: float = 0.0  # minimum interval between batches of events
     polls_endpoints: bool = False
     max_poll_gap: float = 10.0
+    # Whether discovery confirms the list every second or so while a watch is open; otherwise an open watch
+    # reports nothing while nothing changes.
+    watch_is_confirmed: bool = False
     max_attempts: int = 1
     may_hedge: bool = False
     may_cancel: bool = False
@@ -252,13 +255,15 @@
     QUEUE_FULL = "queue_full"  # the expected wait is longer than its useful time
     DISPLACED = "displaced"  # calls of higher priority weight took its place in the queue
     ATTEMPTS_EXHAUSTED = "attempts_exhausted"  # its attempts failed, and no further one is allowed
+    LIST_EXPIRED = "list_expired"  # the endpoint list may lack a drain that counts as known
 
 
 class DiscoveryFailure(Enum):
     """How a call to discovery failed."""
 
     UNANSWERED = "unanswered"  # no answer in time, no connection or a malformed answer
-    REJECTED = "refused"  # after a wait: discovery is down, or too many calls wait before this one
+    # A queued call after a wait, or an open watch: discovery is down, or too many calls wait before this one.
+    REJECTED = "refused"
     REJECTED_IMMEDIATELY = "refused at once"  # discovery is reachable but overloaded
 
 
@@ -340,6 +345,7 @@
     status: int
     elapsed: float
     report: dict[str, float] | None = None
+    sent_at: float | None = None  # when the probe began; None: `elapsed` before the batch
 
 
 @dataclass(slots=True)
@@ -379,7 +385,9 @@
     call: int
     server: int
     timeout: float
-    start_within: float = math.inf  # seconds until the deduplication window of a retry ends
+    # Seconds from the batch's time within which the attempt must begin: the deduplication window of a retry
+    # or the validity of the endpoint list ends then.
+    start_within: float = math.inf
 
 
 @dataclass(slots=True)
--- a/gladegw/balancing/health_checks.py
+++ b/gladegw/balancing/health_checks.py
@@ -21,6 +21,8 @@
 CANDIDATE_PROBE_WAIT_S = 0.01
 PROBE_ROUND_S = 2.0  # each unverified server is probed once per round
 CANDIDATE_PROBE_TOKEN = 2
+MAX_DRAINING_PROBES = 3  # per instance
+DRAINING_PROBE_DELAY_S = 0.5  # after the list showed the drain, since a server may begin it a moment later
 
 
 class HealthChecker:
@@ -42,6 +44,7 @@
         self.freshness = freshness
         self.actions = actions
         self.probe_tokens = INITIAL_PROBES
+        self.draining_probes = 0  # sent to servers that drain by the list
         self.probes_candidates = (
             settings.may_probe and CANDIDATES * settings.price_probe <= MAX_CANDIDATE_PROBE_PRICE
         )
@@ -61,8 +64,8 @@
             servers.fill_pool(now)
 
     def unverified_servers(self, now: float) -> list[Server]:
-        """Return the servers that will be withheld if the list expires before a probe verifies them."""
-        if not self.freshness.is_going_stale(now):
+        """Return the servers that will be withheld in an outage of discovery unless a probe verifies them."""
+        if not (self.freshness.outage_possible and self.freshness.is_going_stale(now)):
             return []
         since = now - PROBE_ROUND_S
         return [s for s in self.servers.pool if s.healthy_at < since and not s.ejected_until]
@@ -71,6 +74,7 @@
         """Send the regular health probes that the probe rate allows for the last `span` seconds."""
         if not self.settings.may_probe or not self.servers.pool:
             return
+        self.probe_draining(now)
         rate = max(MIN_PROBES_PER_S, PROBES_PER_CALL * self.admission.rate)
         unverified = self.unverified_servers(now)
         rate = max(rate, len(unverified) / PROBE_ROUND_S)
@@ -84,6 +88,20 @@
             oldest = min(s.probed_at for s in probeable)
             self.send_probe(self.random.choice([s for s in probeable if s.probed_at == oldest]), now)
 
+    def probe_draining(self, now: float) -> None:
+        """Probe a few servers that drain by the list, which shows whether probes reveal drains.
+
+        Only the sockets of a real proxy can reach such a server.
+        """
+        if not self.settings.watch_is_confirmed or self.draining_probes >= MAX_DRAINING_PROBES:
+            return
+        for server in self.servers.servers.values():
+            due = now >= server.draining_since + DRAINING_PROBE_DELAY_S
+            if server.state is ServerState.DRAINING and due and server.probed_at < server.draining_since:
+                self.draining_probes += 1
+                self.send_probe(server, now)
+                return
+
     def awaits_candidate_probes(self, call: Call, now: float) -> bool:
         """Return whether a call waits for probes of its candidate servers, sending them first if due.
 
--- a/gladegw/balancing/requests.py
+++ b/gladegw/balancing/requests.py
@@ -176,15 +176,25 @@
             return False
         return call.cls.effect is not Effect.NOT_IDEMPOTENT or self.first_possible_run(call) is None
 
-    def send(self, call: Call, server: Server, now: float, timeout: float, load: float) -> Attempt | None:
+    def send(
+        self,
+        call: Call,
+        server: Server,
+        now: float,
+        timeout: float,
+        load: float,
+        start_before: float = math.inf,
+    ) -> Attempt | None:
         """Append a Send action and return the new attempt, or None if the rules forbid it.
 
-        The timeout (seconds) is limited to the time left until the call's deadline.
+        The timeout (seconds) is limited to the time left until the call's deadline. `start_before`: when
+        the attempt may no longer begin, because the server may have begun to drain.
         """
         if not self.may_send(call, server, now):
             return None
         timeout = max(CONTROL_STEP_S / 10, min(timeout, call.deadline - now))
-        self.actions.append(Send(call.id, server.id, timeout, self.start_within(call, now)))
+        start_within = min(self.start_within(call, now), start_before - now)
+        self.actions.append(Send(call.id, server.id, timeout, start_within))
         attempt = Attempt(call, len(call.attempts), server, now, load)
         call.attempts.append(attempt)
         call.in_flight += 1
--- a/gladegw/balancing/server_selection.py
+++ b/gladegw/balancing/server_selection.py
@@ -69,9 +69,11 @@
 
     def __init__(self, entry: ServerEntry, tokens: float) -> None:
         self.id = entry.server
+        self.draining_since = math.inf  # when the list showed that it had begun to drain; inf: never
         self.warmup_tokens = tokens  # of the slow-start budget
         self.unspent_since = 0.0  # when the tokens last reached a full call
-        self.apply_entry(entry)
+        self.state = entry.state
+        self.apply_entry(entry, 0.0)
         self.in_flight = 0  # this instance's attempts
         self.ejected_until = 0.0  # 0: not ejected
         self.ejections = 0
@@ -80,11 +82,13 @@
         self.tie_break = 0.0  # random number of the last pick
         self.probe_pending = False
         self.probed_at = -math.inf
-        self.withheld = False  # gets no calls: it may have begun to drain without this instance being told
+        self.withheld = False  # gets no calls: the list has expired and may lack its drain
         self.reset()
 
-    def apply_entry(self, entry: ServerEntry) -> None:
+    def apply_entry(self, entry: ServerEntry, now: float) -> None:
         """Take over the fields of a list entry."""
+        if entry.state is ServerState.DRAINING and self.state is ServerState.SERVING:
+            self.draining_since = now
         self.zone, self.cell, self.state = entry.zone, entry.cell, entry.state
         self.weight, self.started_at = max(entry.weight, 1e-3), entry.started_at
         self.warmup_from = entry.started_at
@@ -100,8 +104,7 @@
         self.used_at = -math.inf  # the last send or answer
         self.max_in_flight, self.max_in_flight_until = 0, 0.0  # set while it accepts no more connections
         self.fail_streak = 0
-        self.healthy_at = -math.inf  # send time of the latest answered probe: not draining then
-        self.completed_at = -math.inf  # send time of the latest completed call
+        self.healthy_at = -math.inf  # when the latest answered probe was sent
 
 
 class ServerSelector:
@@ -113,9 +116,10 @@
         self.servers: dict[int, Server] = {}
         self.pool: list[Server] = []
         self.rings: dict[str, list[Server]] = {}  # serving servers by zone
-        self.overdue = False  # the list has expired: it may lack a drain that counts as known
-        self.reachable = False  # discovery is up though it rejects polls
-        self.verified_for = math.inf  # how long a server may be used after it was verified not to drain
+        self.list_expired = False  # the list may lack a drain that counts as known
+        self.outage_possible = False  # discovery may be down, so that no change counts as known meanwhile
+        self.probes_reveal_drains = True  # no draining server has answered a probe
+        self.verified_for = 0.0  # how long a server may be used after it answered a probe, in an outage
         self.mean_load = Mean(1.0)
         self.zone_load: dict[str, Mean] = {}  # reported calls per unit of weight
         self.errors = Mean(0.0)
@@ -142,7 +146,7 @@
                 continue
             restarted = entry.started_at > server.started_at
             previous_warmup_from = server.warmup_from
-            server.apply_entry(entry)
+            server.apply_entry(entry, now)
             if restarted:
                 server.reset()
                 server.warmup_tokens = self.random.random()
@@ -370,34 +374,26 @@
         """Return the ejected servers; safe to call from another thread."""
         return [server for server in list(self.servers.values()) if server.ejected_until]
 
-    def serving_at(self, server: Server) -> float:
-        """Return the latest time at which a server is known or assumed not to have been draining.
-
-        A draining server may complete calls as before, so completed calls are evidence only if there is no
-        other: where probes are not allowed and discovery may be down, so that no change counts as known.
-        """
-        if self.settings.may_probe or self.reachable:
-            return server.healthy_at
-        return server.completed_at
+    @property
+    def uses_verified_servers(self) -> bool:
+        """Whether servers that answer probes are used though the list has expired."""
+        return self.outage_possible and self.settings.may_probe and self.probes_reveal_drains
 
-    def withhold(self, now: float) -> list[Server]:
-        """While the list is expired, withhold servers not verified lately; return the servers that changed.
+    def withhold(self, now: float) -> int:
+        """While the list is expired, withhold the servers that may drain; return the number of changes.
 
-        Prevents sending to a server whose drain counts as known. Drawback: fewer servers carry the load while
-        discovery does not answer. If no server is verified and discovery is reachable, no server is used,
-        because discovery's changes count as known; during an outage of discovery all servers are used.
+        Prevents sending to a server whose drain counts as known. Drawback: no call is served while discovery
+        does not answer, although most servers could serve. If discovery may be down, servers are used that
+        have lately answered a probe: no change counts as known during an outage, but its end can't be seen
+        while discovery rejects calls. They are no longer used once a draining server has answered a probe.
         """
-        since = now - self.verified_for
-        any_verified = self.reachable or any(
-            self.serving_at(server) >= since and not server.ejected_until for server in self.pool
-        )
-        changed: list[Server] = []
+        changes = 0
+        since = now - self.verified_for if self.uses_verified_servers else math.inf
         for server in self.pool:
-            withheld = self.overdue and any_verified and self.serving_at(server) < since
-            if withheld != server.withheld:
-                server.withheld = withheld
-                changed.append(server)
-        return changed
+            withheld = self.list_expired and server.healthy_at < since
+            changes += withheld != server.withheld
+            server.withheld = withheld
+        return changes
 
     def eject(self, server: Server, now: float, hard: bool) -> bool:
         """Eject a server for a time that doubles with each ejection; return whether it was ejected.
--- a/gladegw/net/config.py
+++ b/gladegw/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import resource
 from collections.abc import Mapping
@@ -125,7 +126,7 @@
             seed=_seed(raw.get("seed", 0)),
             sockets=sockets,
             known=known,
-            settings=read_settings(flatten(raw["settings"])),
+            settings=dataclasses.replace(read_settings(flatten(raw["settings"])), watch_is_confirmed=True),
             raw_settings=raw["settings"],
             memory=int(float(limits.get("memory_mb", 128)) * (1 << 20)),
             admin=address(admin) if admin else None,
--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -387,13 +387,16 @@
 
     @staticmethod
     def _failure_kind(call: DiscoveryCall, fault: Exception) -> DiscoveryFailure:
-        """Classify the failure of a call."""
+        """Classify the failure of a call.
+
+        A call that continues a watch does not queue: discovery rejects it when it goes down.
+        """
         if not isinstance(fault, DiscoveryRejectedError):
             return DiscoveryFailure.UNANSWERED
         waited = time.monotonic() - call.begun_at
         return (
             DiscoveryFailure.REJECTED_IMMEDIATELY
-            if waited < IMMEDIATE_REJECTION_S
+            if waited < IMMEDIATE_REJECTION_S and not call.continues_watch
             else DiscoveryFailure.REJECTED
         )
 
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -418,7 +418,7 @@
         self._record_send(call, number, upstream)
         timeout = min(action.timeout, call.deadline - time.monotonic())
         request = call.request
-        start_before = time.monotonic() + action.start_within
+        start_before = self.flushed_at + action.start_within
 
         def may_start() -> bool:
             """Whether the request may still be sent.
@@ -561,7 +561,7 @@
     def _probe(self, action: api.Probe) -> None:
         """Send a probe to a backend."""
         upstream = self.upstreams.by_id.get(action.server)
-        if upstream is None or not upstream.serving or self.probes >= MAX_PROBES:
+        if upstream is None or upstream.state is api.ServerState.REMOVED or self.probes >= MAX_PROBES:
             # Not sent, which is not the backend's fault.
             self._push(api.ProbeResult(action.server, api.Status.REJECTED, 0.0))
             return
@@ -579,9 +579,13 @@
                 self.capture.on_load_report(action.server, exchange.body)
             if status is api.Status.NOT_SENT:
                 status = api.Status.REJECTED  # not probed, which says nothing about its health
-            self._push(api.ProbeResult(action.server, status, exchange.elapsed, report))
+            started_at = exchange.started_at
+            self._push(api.ProbeResult(action.server, status, exchange.elapsed, report, started_at))
 
-        probe = Exchange(upstream, lambda: request, PROBE_TIMEOUT_S, lambda: upstream.serving, on_end)
+        def may_start() -> bool:
+            return upstream.state is not api.ServerState.REMOVED
+
+        probe = Exchange(upstream, lambda: request, PROBE_TIMEOUT_S, may_start, on_end)
         self.upstreams.start(probe)
 
     def _set_timer(self, action: api.SetTimer) -> None:
--- a/gladegw/net/routes.py
+++ b/gladegw/net/routes.py
@@ -205,6 +205,9 @@
             self.shared.events.on_discovery_call,
         )
         self._apply_listing(known_listing)
+        self.list_as_of = (
+            time.monotonic()
+        )  # when discovery last confirmed the list; at first that of the start
         text = read_file(settings.file)
         try:
             table = build_table(text, settings.file, config.settings.classes)
@@ -388,6 +391,8 @@
 
     def _on_list(self, listing: Listing) -> None:
         self._apply_listing(listing)
+        if listing.current:
+            self.list_as_of = time.monotonic() - listing.age
         for served_pool in self._all_pools():
             self._notify(served_pool, api.ListKind.FULL, listing)
 
@@ -430,7 +435,10 @@
         entries = [self.backends[name].entry for name in sorted(served_pool.members.names)]
         if listing is not None or entries != served_pool.notified_members:
             served_pool.notified_members = entries
-            current, age = (listing.current, listing.age) if listing is not None else (False, 0.0)
+            if listing is not None:
+                current, age = listing.current, listing.age
+            else:  # a new pool starts with the proxy's list; a change of members is no news
+                current, age = kind is api.ListKind.CACHED, time.monotonic() - self.list_as_of
             served_pool.driver.on_pool_members(entries, self.version, kind, current, age)
 
     def _ejected(self, driver: Driver) -> frozenset[str]:
