Date an endpoint list by its call, not by when its answer was read

Callers: requests to a server for seconds after its drain counts as known, where the proxy had stood still while discovery answered. Cause: a list was taken to be as old as the first byte's arrival, and an age that was taken when the answer was read counted from the batch that got it; a stopped process reads late, so the lease grew by the time for which it stood. Change: as_of, a time and not an age, is passed on: the begin of the call, plus its hold time where the answer has no changes, since discovery waits that long.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -195,7 +195,7 @@
             self.freshness.on_address_change(self.now)
             return
         if event.current:
-            self.freshness.on_update(self.now, event.kind is not ListKind.CACHED, event.age)
+            self.freshness.on_update(self.now, event.kind is not ListKind.CACHED, event.as_of)
         self.servers.apply_list(event, self.now)
         self.admission.set_min_window(len(self.servers.servers), self.settings.balancers)
 
--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -69,18 +69,17 @@
         """Schedule the first poll at a random time, because all instances may start at once."""
         self.next_poll_at = now + self.random.random() * min(INITIAL_POLL_SPREAD_S, max_poll_gap / 4)
 
-    def on_update(self, now: float, by_discovery: bool, age: float = 0.0) -> None:
+    def on_update(self, now: float, by_discovery: bool, as_of: float = math.inf) -> None:
         """Process a list or a confirmation without changes.
 
-        `by_discovery` is false for a cached list. `age`: seconds since discovery began to answer; the answer
-        does not contain later changes.
+        `by_discovery` is false for a cached list. `as_of`: no change before this time is missing.
         """
         if by_discovery:
             self.consecutive_failures = 0
             self.outage_possible = False
             self.polled_at = now
             self.address_changed_at = math.inf
-        self.current_as_of = max(self.current_as_of, now - age)
+        self.current_as_of = max(self.current_as_of, min(now, as_of))
 
     def on_address_change(self, now: float) -> None:
         """Record that discovery has a new address; updates from the old one no longer count."""
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -276,7 +276,8 @@
     version: int = 0
     failure: DiscoveryFailure = DiscoveryFailure.UNANSWERED  # only of a failed poll
     current: bool = True  # False: from a former address of discovery, or sent before
-    age: float = 0.0  # seconds since discovery began to answer
+    # No change before this time is missing, in seconds of the batches' clock; inf: the time of the batch.
+    as_of: float = math.inf
     missed_for: float = math.inf  # seconds for which a failed watch may have missed changes; inf: unknown
 
 
--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -141,18 +141,28 @@
     """One pending call to discovery: its target and its deadline."""
 
     def __init__(
-        self, target: str, timeout: float, moves: int, number: int, continues_watch: bool = False
+        self, target: str, timeout: float, moves: int, number: int, hold: float, continues_watch: bool
     ) -> None:
         """Create a call that begins now.
 
-        `timeout` is in seconds; `moves` is the number of address changes so far; `number` identifies the call
-        in the log; `continues_watch` marks a call that continues a watch, which does not queue at discovery.
+        `timeout` is in seconds, beyond the hold time `hold`; `moves` is the number of address changes so far;
+        `number` identifies the call in the log; `continues_watch` marks a call that continues a watch, which
+        does not queue at discovery.
         """
+        self.hold = hold
         self.number = number
         self.target, self.timeout, self.moves, self.continues_watch = target, timeout, moves, continues_watch
         self.begun_at = time.monotonic()
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None
 
+    def earliest_answer_at(self, is_confirmation: bool) -> float:
+        """When discovery has written the response at the earliest, as a monotonic time.
+
+        Its arrival does not tell, because it may be read late. `is_confirmation`: it contains no changes, so
+        that discovery has waited for the call's hold time.
+        """
+        return self.begun_at + (self.hold if is_confirmation else 0.0)
+
     async def result(self, channel: _Channel) -> bytes:
         """The body of the response.
 
@@ -160,7 +170,7 @@
         from the start. Raises OSError, TimeoutError or ValueError.
         """
         assert self.answer is not None
-        due = self.begun_at + self.timeout
+        due = self.begun_at + self.hold + self.timeout
         while not self.answer.done():
             now = time.monotonic()
             latest = max(due, min(channel.last_received_at + ANSWER_TIMEOUT_S, due + MAX_READ_S))
@@ -285,10 +295,12 @@
         finally:
             channel.close()
 
-    def _new_call(self, target: str, timeout: float, continues_watch: bool = False) -> DiscoveryCall:
-        """Create a call that begins now; `timeout` is in seconds."""
+    def _new_call(
+        self, target: str, timeout: float, hold: float = 0.0, continues_watch: bool = False
+    ) -> DiscoveryCall:
+        """Create a call that begins now; `timeout` is in seconds, beyond the hold time."""
         self.calls += 1
-        return DiscoveryCall(target, timeout, self.moves, self.calls, continues_watch)
+        return DiscoveryCall(target, timeout, self.moves, self.calls, hold, continues_watch)
 
     async def _send_watch_call(self, channel: _Channel) -> DiscoveryCall | None:
         """Send the next call of a watch; it requests a full snapshot if no version is known.
@@ -301,7 +313,7 @@
             hold = min(self.hold, MAX_HOLD_S if channel.up else FIRST_HOLD_S)
             timeout = ANSWER_TIMEOUT_S if channel.up else self.queued_call_timeout
             target = f"{LIST_PATH}?from={self.version}&hold_ms={int(hold * 1000)}"
-            call = self._new_call(target, hold + timeout, continues_watch=channel.up)
+            call = self._new_call(target, timeout, hold, continues_watch=channel.up)
         return await self._send(channel, call)
 
     async def _send(self, channel: _Channel, call: DiscoveryCall) -> DiscoveryCall | None:
@@ -360,7 +372,8 @@
                 len(listing.backends),
             )
         listing.current = call.moves == self.moves and not self.address_changing
-        listing.as_of = channel.answer_began_at
+        is_confirmation = not answer.snapshot and not answer.endpoints
+        listing.as_of = min(channel.answer_began_at, call.earliest_answer_at(is_confirmation))
         if call.moves == self.moves:
             self.queued_call_timeout = FULL_LIST_TIMEOUT_S
             self.version = answer.index
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -227,7 +227,7 @@
     def _server_list(listing: Listing, kind: api.ListKind) -> api.ServerList:
         """The balancer's event for a list."""
         entries = [listed.entry for listed in listing.backends]
-        return api.ServerList(kind, entries, listing.version, current=listing.current, age=listing.age)
+        return api.ServerList(kind, entries, listing.version, current=listing.current, as_of=listing.as_of)
 
     def list_age(self) -> float:
         """Seconds since discovery last confirmed the endpoint list."""
@@ -259,13 +259,13 @@
         version: int,
         kind: api.ListKind,
         current: bool,
-        age: float = 0.0,
+        as_of: float = math.inf,
     ) -> None:
         """Update the backends of this pool, whose endpoint source is shared.
 
-        `current`: the list was just received from discovery, whose response began `age` seconds ago.
+        `current`: the list is that of discovery, and no change before `as_of` is missing.
         """
-        self._push(api.ServerList(kind, entries, version, current=current, age=age))
+        self._push(api.ServerList(kind, entries, version, current=current, as_of=as_of))
 
     # downstream side
     def ready(self) -> bool:
--- a/gladegw/net/endpoint_lists.py
+++ b/gladegw/net/endpoint_lists.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from hashlib import blake2b
@@ -59,12 +58,7 @@
     complete: bool
     backends: list[ListedBackend]
     current: bool = True  # False: from an address of discovery that is being or was replaced
-    as_of: float = math.inf  # monotonic time at which discovery began to answer; inf: now
-
-    @property
-    def age(self) -> float:
-        """Seconds since discovery began to answer."""
-        return max(0.0, time.monotonic() - self.as_of)
+    as_of: float = math.inf  # monotonic time before which no change is missing; inf: now
 
 
 _decoder: msgspec.json.Decoder[ListResponse] = msgspec.json.Decoder(ListResponse, strict=False)
--- a/gladegw/net/routes.py
+++ b/gladegw/net/routes.py
@@ -392,7 +392,7 @@
     def _on_list(self, listing: Listing) -> None:
         self._apply_listing(listing)
         if listing.current:
-            self.list_as_of = time.monotonic() - listing.age
+            self.list_as_of = listing.as_of
         for served_pool in self._all_pools():
             self._notify(served_pool, api.ListKind.FULL, listing)
 
@@ -436,10 +436,10 @@
         if listing is not None or entries != served_pool.notified_members:
             served_pool.notified_members = entries
             if listing is not None:
-                current, age = listing.current, listing.age
+                current, as_of = listing.current, listing.as_of
             else:  # a new pool starts with the proxy's list; a change of members is no news
-                current, age = kind is api.ListKind.CACHED, time.monotonic() - self.list_as_of
-            served_pool.driver.on_pool_members(entries, self.version, kind, current, age)
+                current, as_of = kind is api.ListKind.CACHED, self.list_as_of
+            served_pool.driver.on_pool_members(entries, self.version, kind, current, as_of)
 
     def _ejected(self, driver: Driver) -> frozenset[str]:
         """Backends that the pool's balancer has ejected."""
--- a/tests/balancing/test_endpoint_freshness.py
+++ b/tests/balancing/test_endpoint_freshness.py
@@ -227,7 +227,7 @@
     """Guards against missing a drain that began after a slowly transmitted list was written."""
     driver = Driver(settings(polls_endpoints=True, may_probe=False), servers=entries(1, 2))
     driver.wait(3.0)
-    driver.feed(ServerList(ListKind.FULL, entries(1, 2), age=3.0))
+    driver.feed(ServerList(ListKind.FULL, entries(1, 2), as_of=driver.now - 3.0))
     driver.feed(ServerList(ListKind.FAILED, failure=DiscoveryFailure.REJECTED_IMMEDIATELY))
     driver.wait(CHANGE_KNOWN_AFTER_S - 3.0 + DRAIN_GRACE_S)
     assert not sends(driver.arrive(1))
@@ -235,6 +235,6 @@
 
 def test_a_cached_list_read_late_does_not_make_an_update_older() -> None:
     freshness = new_freshness()
-    freshness.on_update(START_S + 1.0, by_discovery=True, age=3.0)
+    freshness.on_update(START_S + 1.0, by_discovery=True, as_of=START_S - 2.0)
     freshness.on_failure(START_S + 2.0, DiscoveryFailure.UNANSWERED)
     assert expires_after(freshness) > CHANGE_KNOWN_AFTER_S
--- a/tests/net/test_watch_continuity.py
+++ b/tests/net/test_watch_continuity.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 import pytest
+import uvloop
 from support.loopback import PATIENCE, endpoint, listing, response, run
 from support.threaded_server import ThreadedServer
 
@@ -125,7 +126,11 @@
         ages: list[float] = []
         server = Server(answer)
         discovery = Discovery(
-            server.address, None, 10.0, lambda received: ages.append(received.age), lambda *failed: None
+            server.address,
+            None,
+            10.0,
+            lambda received: ages.append(time.monotonic() - received.as_of),
+            lambda *failed: None,
         )
         if watched:
             discovery.watch(True)
@@ -227,3 +232,59 @@
         assert applied == [1]
 
     run(test())
+
+
+def stall(seconds: float) -> None:
+    """Keep this process's event loop from running."""
+    time.sleep(seconds)
+
+
+def confirm_after_hold(connection: socket.socket, target: str) -> None:
+    """Answer a watch without changes once its hold time is over."""
+    time.sleep(int(target.partition("hold_ms=")[2]) / 1000)
+    connection.sendall(list_of(1, 0, snapshot=False))
+
+
+def test_an_answer_that_is_read_late_is_no_younger_than_its_call() -> None:
+    """Guards against a lease that a stall of the process lengthens (report 58289b)."""
+    stalled_for = 2.0  # s
+
+    async def test() -> None:
+        server = Server(lambda connection, number: confirm_after_hold(connection, server.calls[-1][1]))
+        received: list[Listing] = []
+        discovery = Discovery(server.address, 1, 10.0, received.append, lambda *failed: None)
+        discovery.watch(True)
+        await until(lambda: bool(server.calls))
+        called_at = time.monotonic()
+        stall(stalled_for)
+        await until(lambda: bool(received))
+        discovery.stop()
+        assert received[0].as_of < called_at + stalled_for / 2
+
+    run(test())
+
+
+def test_an_answer_that_came_while_the_process_stalled_is_not_discarded() -> None:
+    """Guards against the loss of a drain that discovery has written (report 58289b).
+
+    The proxy's event loop runs timers before it reads sockets: after a stall the call's timeout came first.
+    """
+    stalled_for = 3.0  # s, longer than the timeout of the call
+
+    async def test() -> None:
+        received: list[Listing] = []
+        failed: list[object] = []
+        server = Server(lambda connection, number: connection.sendall(list_of(2, 1, snapshot=False)))
+        discovery = Discovery(server.address, 1, 10.0, received.append, failed.append)
+        discovery.watch(True)
+        await until(lambda: bool(server.calls))
+        stall(stalled_for)
+        await until(lambda: bool(received or failed))
+        discovery.stop()
+        assert (len(received) > 0, failed) == (True, [])
+
+    async def bounded() -> None:
+        async with asyncio.timeout(PATIENCE):
+            await test()
+
+    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(bounded())
