Read the sockets after a stall before a request is sent or a call times out

Callers: requests to servers that drain, later than the grace after discovery had written it, from a proxy that had stood still meanwhile. Cause: after a stop the event loop runs timers first and then reads sockets in any order. A call's timeout came before its answer was read, which was discarded; and requests that waited were decided and sent before the list that waited beside them was applied. Change: a call times out only after a loop turn in which sockets were read. Stalls are logged. Evidence: the log of a proxy that was stopped for 2.3 s told 'call failed after_ms=2314 TimeoutError' for an answer written after 0.3 s.

--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -13,6 +13,7 @@
 from gladegw.balancing.events import DiscoveryFailure
 from gladegw.net.config import Address
 from gladegw.net.endpoint_lists import EndpointInventory, Listing, decode
+from gladegw.net.upstream.exchange import ONE_LOOP_TURN_S
 
 log = logging.getLogger(__name__)
 
@@ -171,12 +172,18 @@
         """
         assert self.answer is not None
         due = self.begun_at + self.hold + self.timeout
+        sockets_read = False
         while not self.answer.done():
             now = time.monotonic()
             latest = max(due, min(channel.last_received_at + ANSWER_TIMEOUT_S, due + MAX_READ_S))
-            if now >= latest:
+            if now < latest:
+                await asyncio.wait((self.answer,), timeout=latest - now)
+            elif sockets_read:
                 raise TimeoutError
-            await asyncio.wait((self.answer,), timeout=latest - now)
+            else:
+                # Timers run before sockets: the answer may have arrived while the process was stopped.
+                await asyncio.sleep(ONE_LOOP_TURN_S)
+                sockets_read = True
         code, body = self.answer.result()
         if code in REJECTION_CODES:
             raise DiscoveryRejectedError(f"status {code}")
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -183,7 +183,13 @@
                 self.flush_handle = self.loop.call_soon(self._flush)
 
     def _flush(self) -> None:
-        """Pass the queued events to the balancer and execute its actions."""
+        """Pass the queued events to the balancer and execute its actions.
+
+        After a stall of the process this waits until the sockets were read.
+        """
+        if self.shared.stalls.is_settling():
+            self.shared.stalls.when_settled(self._flush)
+            return
         self.flush_handle = None
         now = self.flushed_at = time.monotonic()
         events, self.events = self.events, []
@@ -423,9 +429,10 @@
         def may_start() -> bool:
             """Whether the request may still be sent.
 
-            By the end of a slow connect, the retry's window may have passed or the client disconnected.
+            By the end of a slow connect, the retry's window may have passed or the client disconnected. After
+            a stall the backend's drain may be among the input that was not read yet.
             """
-            in_time = time.monotonic() <= start_before
+            in_time = time.monotonic() <= start_before and not self.shared.stalls.is_settling()
             return call.open and upstream.serving and in_time and not call.reply.hung_up()
 
         def request_bytes() -> bytes:
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from gladegw.limits.descriptor_budget import FLEET_MEMBER_DESCRIPTORS
-from gladegw.net import discovery, listener
+from gladegw.net import discovery, listener, stall_monitor
 from gladegw.net import driver as driver_module
 from gladegw.net import features as settings_file
 from gladegw.net.access_log import AccessLog
@@ -256,7 +256,8 @@
         if features:
             logs = BackgroundWriter(to_descriptor(sys.stderr.fileno()), MAX_LOG_BYTES, "log")
             logging.basicConfig(handlers=[LogHandler(logs)], format=log_format)
-            for module in (discovery, driver_module):  # discovery calls, lists applied, servers withheld
+            # Discovery calls, lists applied, servers withheld, stalls of this process.
+            for module in (discovery, driver_module, stall_monitor):
                 logging.getLogger(module.__name__).setLevel(logging.INFO)
         else:
             logging.basicConfig(stream=sys.stderr, format=log_format)
--- a/gladegw/net/shared_resources.py
+++ b/gladegw/net/shared_resources.py
@@ -13,6 +13,7 @@
 from gladegw.net.config import Config
 from gladegw.net.interfaces import ResponseSink
 from gladegw.net.request import Request
+from gladegw.net.stall_monitor import StallMonitor
 from gladegw.net.upstream.connections import UpstreamPool
 from gladegw.net.upstream.exchange import Exchange
 from gladegw.operators.commands import BackendCounts
@@ -72,6 +73,7 @@
         self.upstreams = UpstreamPool(settings.connect_timeout, settings.conn_idle, self.budget.upstreams)
         self.counters = RequestCounters(cls.name for cls in settings.classes)
         self.events = EventCounters()
+        self.stalls = StallMonitor(asyncio.get_running_loop())
         self.scratch = memoryview(bytearray(chunk_bytes(config.memory, self.budget.clients)))
         self.upstreams.scratch = self.scratch
         self.ids: set[bytes] = set()  # identifiers of open requests and of attempts in flight
