Count a lease from before a stall: SIGHUP, late calls of a watch, slow connects

Cause: the 4 s after SIGHUP counted from its handling, and an answer of the left address that was passed on after it cleared the change. A call sent long after the last answer opens a new watch, which discovery may reject as it does any; that was taken for an outage. The lease was shortened by the connect timeout, though an attempt's first byte is checked against it, so one of 10 s left a lease of 0.05 s. A process that does not poll counts as told after must_ask_in, if that is under 6 s. Change: SIGHUP counts from the last check before the stall; whether a list is of the present address is decided when it is passed on; a call after a stall opens a watch; only a rejected open watch, or no answer since the start, can be an outage (WATCH_REJECTED); start_within alone covers connects; must_ask_in bounds the lease while no call has failed.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -121,7 +121,6 @@
             self.random,
             settings.polls_endpoints,
             settings.drain_grace,
-            settings.connect_timeout,
             settings.watch_is_confirmed,
         )
         self.servers.verified_for = self.freshness.valid_for
@@ -192,7 +191,7 @@
             )
             return
         if event.kind is ListKind.ADDRESS_CHANGED:
-            self.freshness.on_address_change(self.now)
+            self.freshness.on_address_change(min(self.now, event.as_of))
             return
         if event.current:
             self.freshness.on_update(self.now, event.kind is not ListKind.CACHED, event.as_of)
@@ -708,10 +707,9 @@
         """Return when an attempt at a server may no longer begin; a connect can delay it."""
         if not self.settings.watch_is_confirmed:
             return math.inf
-        verified_until = self.freshness.expires_at
         if self.servers.list_expired:
-            verified_until = server.healthy_at + self.servers.verified_for
-        return verified_until + self.settings.connect_timeout
+            return server.healthy_at + self.servers.verified_for
+        return self.freshness.expires_at
 
     def mean_call_equivalents(self, call: Call) -> float:
         """Return the call's expected work in calls of mean latency, the unit of slow-start budgets."""
--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -28,10 +28,14 @@
 INITIAL_POLL_SPREAD_S = 2.0  # all instances may start at once
 CHANGE_KNOWN_AFTER_S = 6.0  # a change counts as known this long after discovery had it
 CHANGE_KNOWN_AFTER_MOVE_S = 4.0  # the same, counted from a change of discovery's address
-MAX_PROCESSING_DELAY_S = 0.2  # from a decision to the first byte sent, without connecting
+MAX_PROCESSING_DELAY_S = 0.2  # from the last look at the clock to the first byte sent
 MIN_VALIDITY_S = 0.05
 
 
+# A rejected call that may have cost discovery time.
+LATE_REJECTIONS = (DiscoveryFailure.REJECTED, DiscoveryFailure.WATCH_REJECTED)
+
+
 class EndpointFreshness:
     """Poll schedule of one instance and the age of its endpoint list."""
 
@@ -40,13 +44,12 @@
         random: Random,
         polls: bool,
         drain_grace: float,
-        connect_timeout: float,
         watch_is_confirmed: bool = False,
     ) -> None:
         """Set up the schedule.
 
-        `polls`: whether the instance opens the watch itself. `drain_grace` and `connect_timeout` come from
-        the settings, in seconds, as does `watch_is_confirmed`.
+        `polls`: whether the instance opens the watch itself. `drain_grace`, in seconds, and
+        `watch_is_confirmed` come from the settings.
         """
         self.watch_is_confirmed = watch_is_confirmed
         self.random = random
@@ -59,14 +62,20 @@
         self.current_as_of = 0.0  # no change before this time can have been missed
         self.address_changed_at = math.inf  # finite until discovery's new address answers
         self.polled_at = -math.inf  # start of the watch or of its current call
-        # How long calls may be sent after a drain counts as known: later ones could begin after its grace.
-        self.send_margin = drain_grace - connect_timeout - MAX_PROCESSING_DELAY_S
+        # How long attempts may begin after a drain counts as known, so that the grace covers a delay.
+        self.send_margin = drain_grace - MAX_PROCESSING_DELAY_S
+        self.max_poll_gap = math.inf
         self.valid_for = max(MIN_VALIDITY_S, CHANGE_KNOWN_AFTER_S + self.send_margin)
-        # All calls since the last update failed as they do while discovery is down.
+        # All calls since the last update failed as they do in an outage of discovery.
         self.outage_possible = False
+        self.was_confirmed = False  # discovery has answered this process
 
     def start(self, now: float, max_poll_gap: float) -> None:
-        """Schedule the first poll at a random time, because all instances may start at once."""
+        """Schedule the first poll at a random time, because all instances may start at once.
+
+        `max_poll_gap`: seconds for which an instance may go without polling, from the settings.
+        """
+        self.max_poll_gap = max_poll_gap
         self.next_poll_at = now + self.random.random() * min(INITIAL_POLL_SPREAD_S, max_poll_gap / 4)
 
     def on_update(self, now: float, by_discovery: bool, as_of: float = math.inf) -> None:
@@ -77,13 +86,14 @@
         if by_discovery:
             self.consecutive_failures = 0
             self.outage_possible = False
+            self.was_confirmed = True
             self.polled_at = now
             self.address_changed_at = math.inf
         self.current_as_of = max(self.current_as_of, min(now, as_of))
 
-    def on_address_change(self, now: float) -> None:
+    def on_address_change(self, changed_at: float) -> None:
         """Record that discovery has a new address; updates from the old one no longer count."""
-        self.address_changed_at = now
+        self.address_changed_at = min(self.address_changed_at, changed_at)
 
     def on_failure(self, now: float, failure: DiscoveryFailure, missed_for: float = math.inf) -> None:
         """Process a failed call to discovery and schedule the next poll with backoff.
@@ -92,8 +102,10 @@
         so that only the time of the last update counts.
         """
         self.watching = False
-        is_first = not self.consecutive_failures
-        self.outage_possible = (is_first or self.outage_possible) and failure is DiscoveryFailure.REJECTED
+        if not self.consecutive_failures:
+            # An outage ends the watch; a process without a watch can't see its begin.
+            self.outage_possible = failure is DiscoveryFailure.WATCH_REJECTED or not self.was_confirmed
+        self.outage_possible = self.outage_possible and failure in LATE_REJECTIONS
         if not self.consecutive_failures:
             self.current_as_of = max(self.current_as_of, now - missed_for)
         self.consecutive_failures += 1
@@ -104,7 +116,7 @@
             self.next_poll_at = now + self._jittered(OVERLOADED_RETRY_S * 2**doublings, limit)
             return
         self.next_poll_at = now + self._jittered(RETRY_INTERVAL_S * 2**doublings, MAX_RETRY_INTERVAL_S)
-        if failure is DiscoveryFailure.REJECTED and self.shares_discovery and self.consecutive_failures > 1:
+        if failure in LATE_REJECTIONS and self.shares_discovery and self.consecutive_failures > 1:
             self.next_poll_at = max(
                 self.next_poll_at, self.polled_at + self.random.uniform(*REJECTED_RETRY_RANGE_S)
             )
@@ -116,7 +128,7 @@
     def inherit(self, other: EndpointFreshness) -> None:
         """Copy the age of the list from an instance that has followed the same discovery."""
         self.consecutive_failures, self.last_failure = other.consecutive_failures, other.last_failure
-        self.outage_possible = other.outage_possible
+        self.outage_possible, self.was_confirmed = other.outage_possible, other.was_confirmed
         self.current_as_of, self.address_changed_at = other.current_as_of, other.address_changed_at
 
     def should_poll(self, now: float) -> bool:
@@ -131,7 +143,11 @@
     def expires_at(self) -> float:
         """When the list expires without an update: from then on it may lack a drain that counts as known."""
         expires_after_move = self.address_changed_at + CHANGE_KNOWN_AFTER_MOVE_S + self.send_margin
-        return min(self.current_as_of + self.valid_for, expires_after_move)
+        valid_for = self.valid_for
+        if self.watch_is_confirmed and not self.consecutive_failures:
+            # A process that stalls polls no more; discovery waits four times as long after a failed call.
+            valid_for = min(valid_for, self.max_poll_gap + self.send_margin)
+        return min(self.current_as_of + valid_for, expires_after_move)
 
     @property
     def is_watched_silently(self) -> bool:
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -262,8 +262,8 @@
     """How a call to discovery failed."""
 
     UNANSWERED = "unanswered"  # no answer in time, no connection or a malformed answer
-    # A queued call after a wait, or an open watch: discovery is down, or too many calls wait before this one.
-    REJECTED = "refused"
+    REJECTED = "refused"  # after a wait: discovery is down, or too many calls wait before this one
+    WATCH_REJECTED = "watch refused"  # an open watch, as when discovery goes down
     REJECTED_IMMEDIATELY = "refused at once"  # discovery is reachable but overloaded
 
 
--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -207,16 +207,19 @@
         on_failed: Callable[[DiscoveryFailure], None],
         inventory: EndpointInventory | None = None,
         on_call_end: Callable[[str], None] = lambda result: None,
+        has_stalled: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a client that makes no call yet.
 
         `inventory` holds the list of `version`, if one is known; `on_failed` is called with the kind of a
-        failure, `on_call_end` with the name of each call's result.
+        failure, `on_call_end` with the name of each call's result. `has_stalled` tells whether this process
+        has just stalled.
         """
         # Version None: no list from this address is known; 0 is a valid version.
         self.address, self.version = address, version
         self.hold = min(HOLD_FRACTION * max_poll_gap, MAX_HOLD_S)  # hold time of a watch call, in seconds
         self.on_list, self.on_failed, self.on_call_end = on_list, on_failed, on_call_end
+        self.has_stalled = has_stalled
         self.calls = 0  # number of calls made, which identifies the latest one in the log
         self.inventory = inventory or EndpointInventory()
         self.list_received = asyncio.Event()  # set once any list was received
@@ -317,10 +320,12 @@
         if self.version is None:
             call = self._new_call(LIST_PATH, self.queued_call_timeout)
         else:
-            hold = min(self.hold, MAX_HOLD_S if channel.up else FIRST_HOLD_S)
-            timeout = ANSWER_TIMEOUT_S if channel.up else self.queued_call_timeout
+            # After a stall the call may come too late to continue the watch.
+            continues = channel.up and not self.has_stalled()
+            hold = min(self.hold, MAX_HOLD_S if continues else FIRST_HOLD_S)
+            timeout = ANSWER_TIMEOUT_S if continues else self.queued_call_timeout
             target = f"{LIST_PATH}?from={self.version}&hold_ms={int(hold * 1000)}"
-            call = self._new_call(target, timeout, hold, continues_watch=channel.up)
+            call = self._new_call(target, timeout, hold, continues_watch=continues)
         return await self._send(channel, call)
 
     async def _send(self, channel: _Channel, call: DiscoveryCall) -> DiscoveryCall | None:
@@ -378,7 +383,6 @@
                 listing.version,
                 len(listing.backends),
             )
-        listing.current = call.moves == self.moves and not self.address_changing
         is_confirmation = not answer.snapshot and not answer.endpoints
         listing.as_of = min(channel.answer_began_at, call.earliest_answer_at(is_confirmation))
         if call.moves == self.moves:
@@ -409,20 +413,23 @@
     def _failure_kind(call: DiscoveryCall, fault: Exception) -> DiscoveryFailure:
         """Classify the failure of a call.
 
-        A call that continues a watch does not queue: discovery rejects it when it goes down.
+        A call that continues a watch in time does not queue: discovery rejects it when it goes down.
         """
         if not isinstance(fault, DiscoveryRejectedError):
             return DiscoveryFailure.UNANSWERED
+        if call.continues_watch:
+            return DiscoveryFailure.WATCH_REJECTED
         waited = time.monotonic() - call.begun_at
         return (
             DiscoveryFailure.REJECTED_IMMEDIATELY
-            if waited < IMMEDIATE_REJECTION_S and not call.continues_watch
+            if waited < IMMEDIATE_REJECTION_S
             else DiscoveryFailure.REJECTED
         )
 
     def _deliver(self, listing: Listing, call: DiscoveryCall, size: int) -> None:
         """Pass the changes of a list to `on_list`."""
         began = time.monotonic()
+        listing.current = call.moves == self.moves and not self.address_changing
         self.list_received.set()
         try:
             self.on_list(listing)
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -142,6 +142,7 @@
             self.list_failed,
             inventory,
             self.shared.events.on_discovery_call,
+            self.shared.stalls.is_settling,
         )
         self.upstreams.apply(known)
         if self.capture is not None:
@@ -251,9 +252,12 @@
         """Report a failed discovery call to the balancer."""
         self._push(api.ServerList(api.ListKind.FAILED, failure=failure))
 
-    def on_discovery_address_change(self) -> None:
-        """Tell the balancer that a new configuration may contain another discovery address."""
-        self._push(api.ServerList(api.ListKind.ADDRESS_CHANGED))
+    def on_discovery_address_change(self, as_of: float) -> None:
+        """Tell the balancer that a new configuration may contain another discovery address.
+
+        `as_of`: monotonic time of the signal at the earliest.
+        """
+        self._push(api.ServerList(api.ListKind.ADDRESS_CHANGED, as_of=as_of))
 
     def inherit_freshness(self, other: Driver) -> None:
         """Take over the age of the endpoint list from the previous driver."""
--- a/gladegw/net/routes.py
+++ b/gladegw/net/routes.py
@@ -203,6 +203,7 @@
             self._on_failed,
             inventory,
             self.shared.events.on_discovery_call,
+            self.shared.stalls.is_settling,
         )
         self._apply_listing(known_listing)
         self.list_as_of = (
@@ -401,10 +402,13 @@
         for served_pool in self._all_pools():
             served_pool.driver.list_failed(failure)
 
-    def on_discovery_address_change(self) -> None:
-        """Tell the pools that the configuration, and with it the discovery address, may change."""
+    def on_discovery_address_change(self, as_of: float) -> None:
+        """Tell the pools that the configuration, and with it the discovery address, may change.
+
+        `as_of`: monotonic time of the signal at the earliest.
+        """
         for served_pool in self._all_pools():
-            served_pool.driver.on_discovery_address_change()
+            served_pool.driver.on_discovery_address_change(as_of)
 
     def _all_pools(self) -> list[ServedPool]:
         """All pools of the current and the retained generations, and those being retired."""
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -49,13 +49,14 @@
 log = logging.getLogger(__name__)
 
 
-async def reconfigure(driver: Driver | PoolRouter) -> None:
+async def reconfigure(driver: Driver | PoolRouter, signaled_at: float) -> None:
     """Apply a changed configuration.
 
+    `signaled_at`: monotonic time of the signal at the earliest, which a stalled process handles late.
     A file that cannot be read is retried for a while, since it may be half written when the signal arrives.
     If it remains invalid, nothing changes.
     """
-    driver.on_discovery_address_change()
+    driver.on_discovery_address_change(signaled_at)
     driver.discovery.address_changing = True
     try:
         for _ in range(MAX_REREADS):
@@ -73,7 +74,8 @@
 
 def on_hangup(driver: Driver | PoolRouter, running: list[asyncio.Task[None]]) -> None:
     """Handle SIGHUP: apply a changed configuration."""
-    task = asyncio.get_running_loop().create_task(reconfigure(driver))
+    signaled_at = driver.shared.stalls.unread_since()
+    task = asyncio.get_running_loop().create_task(reconfigure(driver, signaled_at))
     running.append(task)
     task.add_done_callback(running.remove)
 
--- a/gladegw/simulator_adapter.py
+++ b/gladegw/simulator_adapter.py
@@ -488,7 +488,7 @@
         if who in self.instances:
             version = _optional_int(fields, "stamp", 0)
             # The poll waited too long or discovery is down; both are treated as a rejection after a wait.
-            failure = api.DiscoveryFailure.REJECTED
+            failure = api.DiscoveryFailure.WATCH_REJECTED
             update = api.ServerList(
                 kind, entries, version, failure, missed_for=DROPPED_WATCH_REPORTED_WITHIN_S
             )
