Bound the wait after stalls, and ignore probes sent before a drain was reported

A process that stalls again in each loop turn would have decided nothing any more; and the answer of a probe that was sent before the list showed its server's drain would have counted as that of a draining server, so that nothing is sent in an outage. Change: waiting ends 1 s after the first of several stalls; only probes sent after the drain was reported count, and only answers of the server itself use up one of the three.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -513,8 +513,16 @@
                 self.eject(server, hard=True)
 
     def on_draining_server_probed(self, server: Server, event: ProbeResult) -> None:
-        """Learn from a probe sent to a draining server whether probes reveal that a server drains."""
-        if event.status == Status.OK and self.servers.probes_reveal_drains:
+        """Learn from a probe sent to a draining server whether probes reveal that a server drains.
+
+        A probe sent before the list showed the drain says nothing.
+        """
+        sent_at = self.now - event.elapsed if event.sent_at is None else event.sent_at
+        if sent_at < server.draining_since:
+            return
+        if event.status not in (Status.OK, Status.ERROR):
+            self.health_checks.draining_probes -= 1  # no answer from the server itself
+        elif event.status == Status.OK and self.servers.probes_reveal_drains:
             self.servers.probes_reveal_drains = False
             self.log(f"server {server.id} drains and answers a probe: probes do not reveal drains here")
 
--- a/gladegw/net/stall_monitor.py
+++ b/gladegw/net/stall_monitor.py
@@ -16,6 +16,7 @@
 MAX_GAP_S = CHECK_INTERVAL_S + 0.1
 # Loop turns until an endpoint list that was unread after a stall has been received, decoded and passed on.
 SETTLING_TURNS = 8
+MAX_SETTLING_S = 1.0  # a process that stalls again and again still decides after it
 
 
 class StallMonitor:
@@ -29,6 +30,7 @@
         self.loop = loop
         self.checked_at = time.monotonic()
         self.stalled_since = 0.0  # latest check before the stall; meaningless while there is no turn left
+        self.settling_since = 0.0  # end of the first stall that is not settled yet
         self.turns_left = 0  # until the sockets are read
         self.waiting: list[Callable[[], None]] = []
         self._check_periodically()
@@ -39,9 +41,10 @@
         if now - self.checked_at > MAX_GAP_S:
             if not self.turns_left:
                 log.info("process stalled: for_s=%.3f", now - self.checked_at)
-                self.stalled_since = self.checked_at
+                self.stalled_since, self.settling_since = self.checked_at, now
                 self.loop.call_later(ONE_LOOP_TURN_S, self._on_turn)
-            self.turns_left = SETTLING_TURNS
+            if now < self.settling_since + MAX_SETTLING_S:
+                self.turns_left = SETTLING_TURNS
         self.checked_at = now
         return self.turns_left > 0
 
--- a/tests/balancing/test_overdue_updates.py
+++ b/tests/balancing/test_overdue_updates.py
@@ -129,6 +129,17 @@
     assert servers_used(driver, 30, 12) == {1, 2}
 
 
+def test_a_probe_sent_before_a_drain_was_reported_says_nothing_about_draining_servers() -> None:
+    """Guards against refusing all in an outage because a probe's answer crossed the report of a drain."""
+    driver = driver_without_updates(0.0, 1, 2, 3, may_probe=True)
+    driver.feed(state_update(3, ServerState.DRAINING))
+    driver.feed(ProbeResult(3, Status.OK, CALL_TIME_S))
+    assert driver.balancer.servers.probes_reveal_drains
+    assert Probe(3) in driver.wait(1.0)
+    driver.feed(ProbeResult(3, Status.OK, CALL_TIME_S))
+    assert not driver.balancer.servers.probes_reveal_drains
+
+
 def test_a_server_that_fails_its_probes_gets_no_calls_though_it_completes_them() -> None:
     """A draining server may complete calls as before; only its probes show the drain (report 24bf6d)."""
     driver = driver_without_updates(3.0, 1, 2, may_probe=True)
