--- a/gladegw/cli/soak.py
+++ b/gladegw/cli/soak.py
@@ -20,8 +20,10 @@
     day = one.day
     click.echo(
         f"seed {day.seed}: {day.servers} servers, {day.share:g} of a core, {day.failing:g} of system calls "
-        f"fail, {len(day.drains)} drains, {len(day.hangups)} SIGHUP: {one.answered} answered, {one.refused} "
-        f"refused, {one.failed} failed: {'BROKEN' if one.breaches else 'whole'}"
+        f"fail, {len(day.drains)} drains, {len(day.hangups)} SIGHUP, {len(day.stops)} stops, discovery "
+        f"{day.fault}, probes {'on' if day.probes else 'off'}, draining servers "
+        f"{'healthy' if day.healthy else 'unhealthy'}: {one.answered} answered, {one.refused} refused, "
+        f"{one.failed} failed: {'BROKEN' if one.breaches else 'whole'}"
     )
     for breach in one.breaches:
         click.echo(f"  {breach.rule} at {breach.at:g} s: {breach.what}")
--- a/gladegw/rig/cpu_limit.py
+++ b/gladegw/rig/cpu_limit.py
@@ -37,6 +37,7 @@
             raise ValueError(f"a share of a core is between 0 and 1, not {share:g}")
         self.pid, self.share = pid, share
         self._ending = threading.Event()
+        self._held = False  # stopped from outside, whatever its share
         self._thread = threading.Thread(target=self._run, name="cpu-share", daemon=True)
 
     def __enter__(self) -> CpuShare:
@@ -50,6 +51,16 @@
         self._thread.join()
         self._signal(signal.SIGCONT)
 
+    def hold(self) -> None:
+        """Stop the process until `release`."""
+        self._held = True
+        self._signal(signal.SIGSTOP)
+
+    def release(self) -> None:
+        """Let the process run on by its share."""
+        self._held = False
+        self._signal(signal.SIGCONT)
+
     def _signal(self, number: signal.Signals) -> bool:
         try:
             os.kill(self.pid, number)
@@ -64,7 +75,7 @@
             used, at = processor_time(self.pid), time.monotonic()
             credit = min(CREDIT, credit + self.share * (at - at_before) - (used - used_before))
             used_before, at_before = used, at
-            ahead = credit < 0
+            ahead = credit < 0 or self._held
             if ahead != stopped:
                 stopped = ahead
                 if not self._signal(signal.SIGSTOP if ahead else signal.SIGCONT):
