--- a/tests/net/test_expired_lists.py
+++ b/tests/net/test_expired_lists.py
@@ -250,8 +250,8 @@
 
 
 async def play_stopped(case: Callable[[Surroundings], Awaitable[list[float]]]) -> str:
-    # Without an answered probe nothing but the list's age lets a server be used.
-    async with surroundings(healthy=case is not stopped_after_an_answer) as around:
+    # Without probes nothing but the list's age lets a server be used.
+    async with surroundings(probes=case is not stopped_after_an_answer) as around:
         late = await case(around)
     return f"{case.__name__}: {len(late)} late requests, from {late[0]:.2f} s on" if late else ""
 
