Log response bytes that are discarded when a client's connection is aborted

Neither log nor metric told whether the proxy discards bytes that the kernel had not taken, or the kernel loses what it held (a reset over unread input): the two need different fixes.

Change: an abort with bytes left in the transport's buffer logs their number, the connection's stage and whether the server drains, at most five lines a second. LogRateLimit moves from the driver to a module of its own, since two modules use it now.

A loss in the kernel would have shown as more missing bytes than logged, or as no line.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -586,8 +586,15 @@
         self.closing, self.discarding = True, False
         self.transport.close()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the kernel has not accepted yet; aborting the connection discards them."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
     def abort_connection(self) -> None:
         """Close immediately and discard unwritten bytes, which frees the descriptor."""
+        if self.unsent_bytes:
+            self.server.log_discarded_bytes(self.unsent_bytes, self.stage)
         self.closing, self.discarding = True, False
         if self.transport is not None:
             self.transport.abort()
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import time
 from collections.abc import Callable, Mapping
@@ -16,14 +17,18 @@
 from gladegw.net.acceptor import Acceptor
 from gladegw.net.downstream.connection import ClientConnection
 from gladegw.net.interfaces import RequestHandler, RequestInfo
+from gladegw.net.log_rate_limit import LogRateLimit
 from gladegw.net.request import Router
 from gladegw.operators.request_counters import RequestCounters, RequestObserver
 
+log = logging.getLogger(__name__)
+
 IDLE_TIMEOUT_S = 120.0  # until a connection without a request is closed
 # Time after the start of a drain in which requests in transit are still read. It ends well before 0.7 s
 # after SIGTERM, when clients may no longer rely on a response.
 READ_AFTER_DRAIN_S = 0.25
 SWEEP_INTERVAL_S = 0.1  # between checks for overdue connections
+MAX_DISCARD_LINES_PER_S = 5  # log lines of connections that were aborted with unsent bytes
 
 
 class DownstreamServer:
@@ -56,8 +61,20 @@
             lambda: len(self.connections),
             self._evict,
         )
+        self.discard_lines = LogRateLimit(MAX_DISCARD_LINES_PER_S)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
+    def log_discarded_bytes(self, unsent_bytes: int, stage: ConnectionStage) -> None:
+        """Log that a connection is aborted before the kernel has accepted all bytes of its responses."""
+        if self.discard_lines.take():
+            log.warning(
+                "connection aborted with unsent bytes: bytes=%d stage=%s draining=%s connections=%d",
+                unsent_bytes,
+                stage.name.lower(),
+                self.draining,
+                len(self.connections),
+            )
+
     def drain(self) -> None:
         """Make each further response the last on its connection.
 
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -24,6 +24,7 @@
 from gladegw.net.hop_by_hop import HOP_BY_HOP
 from gladegw.net.interfaces import ResponseSink
 from gladegw.net.load_reports import read_report
+from gladegw.net.log_rate_limit import LogRateLimit
 from gladegw.net.request import Request
 from gladegw.net.shared_resources import PendingRequest, SharedResources
 from gladegw.net.stream_deadline import StreamDeadline
@@ -51,23 +52,6 @@
     return "none" if status is None else status.name.lower()
 
 
-class LogRateLimit:
-    """Limits how many lines of one kind are logged in each second."""
-
-    def __init__(self, max_lines_per_s: int) -> None:
-        self.max_lines_per_s = max_lines_per_s
-        self.began_at = -math.inf  # of the current second
-        self.lines = 0  # in the current second
-
-    def take(self) -> bool:
-        """Return whether a line may be logged now, and count it."""
-        now = time.monotonic()
-        if now >= self.began_at + 1.0:
-            self.began_at, self.lines = now, 0
-        self.lines += 1
-        return self.lines <= self.max_lines_per_s
-
-
 class EndpointSource(Protocol):
     """Source of a pool's endpoint lists, used in place of the pool's own discovery client."""
 
