Wait at shutdown for clients that are still reading their last response

Cause: Drain.shut_down waited for responses that are not written yet. A response counted as done once its last chunk was passed to the transport, where up to a chunk waits while the kernel's send buffer is full; one second later the process discarded it.

Change: ClientConnection.is_delivering tells whether written bytes are not acknowledged yet and still move (limits/delivery_progress.py, which UploadProgress had in a form of its own); shutdown waits for these.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -12,12 +12,19 @@
 
 from gladegw.limits.buffer_budget import HEADER_OVERHEAD_BYTES, MAX_BUFFERED_BYTES
 from gladegw.limits.connection_eviction import ConnectionStage
+from gladegw.limits.delivery_progress import DeliveryProgress
 from gladegw.limits.request_timeouts import RequestDeadline
 from gladegw.limits.unfinished_element import ElementTooLongError, UnfinishedElement
 from gladegw.net.downstream.pending_response import PendingResponse, response_head
 from gladegw.net.interfaces import ClientIdentity, FlowControl, RequestInfo
 from gladegw.net.request import BadRequestError, Request, class_of, origin_form, read_head
-from gladegw.net.sockets import all_acknowledged, has_unread, peer_has_closed, time_since_data
+from gladegw.net.sockets import (
+    all_acknowledged,
+    has_unread,
+    peer_has_closed,
+    time_since_data,
+    unacknowledged_bytes,
+)
 from gladegw.net.tls import subject
 from gladegw.net.upload import RequestBody
 
@@ -29,6 +36,7 @@
 MAX_BODY_BYTES = 32 * 1024 * 1024  # bytes of a request's body
 MAX_HEAD_BYTES = 32 * 1024  # bytes of a request's target and headers, and the overhead of these
 LINGER_S = 1.0  # time that the peer has to close after its last response
+CLIENT_STALL_S = 20.0  # a client whose system acknowledges nothing for this long has stopped reading
 MAX_UNREAD_S = 10.0  # limit of the time credited for bytes that waited unread; more is implausible
 LINGER_CHECK_INTERVAL_S = 0.01  # between checks whether the peer has closed
 OVERLOADED_CHECK_INTERVAL_S = 0.001  # the same while the server is overloaded
@@ -65,6 +73,8 @@
         self.changed_at = accepted_at  # when bytes were last received or sent
         self.write_buffer_full = False  # the peer does not read fast enough
         self.reading_paused = False
+        self.has_written = False  # since all written bytes were last seen to be delivered
+        self.delivery_progress = DeliveryProgress(CLIENT_STALL_S, accepted_at)
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -416,12 +426,18 @@
             pending.keep_alive = False
         return response_head(pending, code, headers, length)
 
+    def _write(self, data: bytes) -> None:
+        """Write bytes of a response, unless the connection has been closed."""
+        if self.transport is not None:
+            self.has_written = True
+            self.transport.write(data)
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         """Send a complete response to the open request."""
         pending = self._open_response()
         if self.transport is not None:
             head = self._build_head(pending, code, headers, len(body))
-            self.transport.write(head if pending.bodyless else head + body)
+            self._write(head if pending.bodyless else head + body)
         self._on_answered(pending, code)
 
     def begin(self, headers: Any, length: int | None, source: FlowControl) -> None:
@@ -429,7 +445,7 @@
         pending = self._open_response()
         self.body_source = source
         if self.transport is not None:
-            self.transport.write(self._build_head(pending, 200, headers, length))
+            self._write(self._build_head(pending, 200, headers, length))
         if self.write_buffer_full:
             source.pause()
 
@@ -437,14 +453,14 @@
         """Send the next part of a streamed body."""
         if self.transport is not None and chunk:
             self.changed_at = time.monotonic()
-            self.transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if self.chunked else chunk)
+            self._write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if self.chunked else chunk)
 
     def finish(self) -> None:
         """End the streamed response."""
         pending = self.current
         if pending is not None:
-            if self.chunked and self.transport is not None:
-                self.transport.write(b"0\r\n\r\n")
+            if self.chunked:
+                self._write(b"0\r\n\r\n")
             self._on_answered(pending, 200)
 
     def hung_up(self) -> bool:
@@ -559,6 +575,30 @@
         written = self.transport.get_write_buffer_size() == 0 and all_acknowledged(fileno)
         return written and not has_unread(fileno)
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses that the client's system has not acknowledged, as far as this is known."""
+        if self.transport is None:
+            return 0
+        unacknowledged = unacknowledged_bytes(self.transport.get_extra_info("socket").fileno())
+        return self.unsent_bytes + (unacknowledged or 0)
+
+    @property
+    def is_delivering(self) -> bool:
+        """Whether written bytes are not delivered yet and the client still takes them.
+
+        A client that has closed its side has gone, and one that has stalled has stopped reading.
+        """
+        if not self.has_written or self.transport is None:
+            return False
+        undelivered = self.undelivered_bytes
+        if not undelivered:
+            self.has_written = False
+            return False
+        if peer_has_closed(self.transport.get_extra_info("socket").fileno()):
+            return False
+        return not self.delivery_progress.has_stalled(time.monotonic(), undelivered)
+
     def overdue(self, now: float) -> bool:
         """Whether the awaited request missed its deadline; False while another response is pending."""
         if self.current is not None and self.current is not self.incoming:
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -101,8 +101,11 @@
 
     @property
     def has_pending(self) -> bool:
-        """Whether a request that was read has no response yet."""
-        return any(connection.stage is ConnectionStage.PENDING for connection in self.connections)
+        """Whether a request that was read has no response yet, or one that its client is still reading."""
+        return any(
+            connection.stage is ConnectionStage.PENDING or connection.is_delivering
+            for connection in self.connections
+        )
 
     @property
     def at_capacity(self) -> bool:
@@ -146,10 +149,11 @@
     def abort(self, unused_since: float = math.inf) -> None:
         """Abort closing connections that have been unchanged since `unused_since`.
 
-        Their peers do not read the last response.
+        Their peers do not read the last response, or do not close their side.
         """
         for connection in list(self.connections):
-            if connection.closing and connection.changed_at <= unused_since:
+            is_unused = connection.closing and connection.changed_at <= unused_since
+            if is_unused and not connection.is_delivering:
                 connection.abort_connection()
 
     def _close_overdue(self, now: float) -> None:
--- a/gladegw/net/drain.py
+++ b/gladegw/net/drain.py
@@ -14,7 +14,7 @@
 POLL_INTERVAL_S = 0.01  # between checks for pending responses
 DRAIN_POLL_INTERVAL_S = 0.1  # between checks of connections accepted while draining
 FIRST_REQUEST_TIMEOUT_S = 1.0  # of a connection accepted while draining
-FINAL_DELIVERY_TIMEOUT_S = 1.0  # for clients to receive the last responses
+FINAL_CLOSE_TIMEOUT_S = 1.0  # for clients to close their connections after the last responses
 
 
 class Drain:
@@ -61,7 +61,8 @@
 
         Clients continue to use connections that stay open, and would lose the requests that are pending when
         the process ends. Hence each response closes its own connection first, then idle connections are
-        closed, and the process ends when nothing is pending.
+        closed, and the process ends when nothing is pending. A response is pending until its client has
+        received it or has stopped reading.
         """
         self._stop()
         server = self.server
@@ -76,7 +77,7 @@
             server.close_idle(partial=True)
             if self.count_pending() or server.has_pending:
                 last_pending_at = time.monotonic()
-            elif time.monotonic() > last_pending_at + FINAL_DELIVERY_TIMEOUT_S:
+            elif time.monotonic() > last_pending_at + FINAL_CLOSE_TIMEOUT_S:
                 break
             await asyncio.sleep(POLL_INTERVAL_S)
         server.abort()
--- a/gladegw/net/upload.py
+++ b/gladegw/net/upload.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+from gladegw.limits.delivery_progress import DeliveryProgress
+
 
 class RequestBody:
     """Buffer of body bytes between a client and one backend at a time.
@@ -65,22 +67,16 @@
         self.on_progress()
 
 
-class UploadProgress:
+class UploadProgress(DeliveryProgress):
     """Notices that a backend takes no more of a request's body."""
 
-    __slots__ = ("_progressed_at", "_undelivered", "max_stall_s")
-
-    def __init__(self, max_stall_s: float, now: float) -> None:
-        self.max_stall_s = max_stall_s
-        self._progressed_at = now
-        self._undelivered = 0
+    __slots__ = ()
 
-    def has_stalled(self, now: float, waiting: bool, undelivered: int) -> bool:
+    def has_stalled_upload(self, now: float, waiting: bool, undelivered: int) -> bool:
         """Whether the backend has taken nothing for `max_stall_s`, while bytes were waiting for it.
 
-        `waiting`: the client's bytes wait here, so that it is not the client that is slow. `undelivered`:
-        bytes that were written to the backend's connection and not acknowledged.
+        `waiting`: the client's bytes wait here, so that it is not the client that is slow.
         """
-        if not waiting or undelivered != self._undelivered:
-            self._progressed_at, self._undelivered = now, undelivered
-        return now >= self._progressed_at + self.max_stall_s
+        if not waiting:
+            self.restart(now, undelivered)
+        return self.has_stalled(now, undelivered)
--- a/gladegw/net/upstream/exchange.py
+++ b/gladegw/net/upstream/exchange.py
@@ -191,7 +191,9 @@
         upload, connection, progress = self.upload, self.connection, self.upload_progress
         if upload is None or connection is None or progress is None:
             return
-        has_stalled = progress.has_stalled(time.monotonic(), upload.waiting, connection.undelivered_bytes)
+        has_stalled = progress.has_stalled_upload(
+            time.monotonic(), upload.waiting, connection.undelivered_bytes
+        )
         if has_stalled and not (self.sink is not None and self.large):  # cut off by its own progress only
             self.end(Status.TIMEOUT)
         else:
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -6,67 +6,17 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import Any
 
 import pytest
+from support.downstream import Recorder, request_bytes, start_downstream_server, until
 from support.loopback import PATIENCE, Backend, Seen, proxy, run, serve_ok
 
-from gladegw.balancing.events import Effect
 from gladegw.net.downstream.connection import NO_HEADERS
-from gladegw.net.downstream.server import DownstreamServer
 from gladegw.net.interfaces import ResponseSink
-from gladegw.net.request import Request
-from gladegw.operators.request_counters import RequestCounters
 
 LARGE = 4 << 20  # bytes of a response, more than socket buffers hold
 
 
-def request_bytes(number: int) -> bytes:
-    return b"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: %d\r\nX-Budget: 1000m\r\n\r\n" % number
-
-
-class Recorder:
-    """A request handler that records the requests and, if given, calls `handle` with each response sink."""
-
-    def __init__(self, handle: Callable[[ResponseSink], None] | None = None) -> None:
-        self.handle = handle
-        self.opened_requests: asyncio.Queue[Request] = asyncio.Queue()
-        self.replies: list[ResponseSink] = []
-
-    def on_request(self, request: Request, reply: ResponseSink) -> object:
-        self.opened_requests.put_nowait(request)
-        self.replies.append(reply)
-        if self.handle is not None:
-            self.handle(reply)
-        return self
-
-    def on_body_complete(self, call: Any) -> None:
-        raise AssertionError("no request in these tests has a streamed body")
-
-    def on_disconnect(self, call: Any) -> None:
-        pass
-
-
-def start_downstream_server(handler: Recorder) -> tuple[DownstreamServer, tuple[str, int]]:
-    server = DownstreamServer(
-        {"stock": Effect.IDEMPOTENT},
-        handler,
-        100,
-        RequestCounters(["stock"]),
-        lambda: True,
-        memoryview(bytearray(65536)),
-    )
-    server.acceptor.listen("127.0.0.1", 0)
-    (listener,) = server.acceptor.listeners
-    return server, listener.getsockname()
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(PATIENCE):
-        while not condition():
-            await asyncio.sleep(0.001)
-
-
 @pytest.mark.parametrize("close_reason", ["idle", "partial", "overdue", "evicted"])
 @pytest.mark.parametrize("reused", [False, True])
 def test_a_request_that_arrives_just_before_a_close_is_answered(close_reason: str, reused: bool) -> None:
--- /dev/null
+++ b/tests/net/test_response_delivery.py
@@ -0,0 +1,131 @@
+"""A client that reads gets its whole response; one that stops reading holds nothing for ever."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+from support.downstream import Recorder, request_bytes, start_downstream_server, until
+from support.loopback import PATIENCE, run
+
+from gladegw.limits.delivery_progress import DeliveryProgress
+from gladegw.net.downstream.connection import CLIENT_STALL_S, NO_HEADERS, ClientConnection
+from gladegw.net.downstream.server import DownstreamServer
+from gladegw.net.drain import Drain
+from gladegw.net.interfaces import ResponseSink
+
+IN_PROXY_BYTES = 8 << 20  # of a response: more than the socket buffers hold, its end waits in the proxy
+IN_KERNEL_BYTES = 1 << 20  # of a response that the proxy's system takes at once, unlike the client's
+RECEIVE_BUFFER_BYTES = 1 << 16
+SLOW_READ_BYTES = 1 << 14
+SLOW_READ_INTERVAL_S = 0.25  # 64 kB/s
+STALL_S = 0.4  # limit in tests of clients that stop reading
+
+
+class PassiveSource:
+    """The source of a streamed response that the test writes itself."""
+
+    def pause(self) -> None:
+        pass
+
+    def resume(self) -> None:
+        pass
+
+
+def respond(reply: ResponseSink, size: int) -> None:
+    reply.answer(200, NO_HEADERS, b"x" * size)
+
+
+def stream(reply: ResponseSink, size: int) -> None:
+    reply.begin(NO_HEADERS, None, PassiveSource())
+    reply.send(b"x" * size)
+    reply.finish()
+
+
+@contextlib.asynccontextmanager
+async def unread_response(
+    size: int, respond_with: Callable[[ResponseSink, int], None] = respond
+) -> AsyncIterator[tuple[DownstreamServer, ClientConnection, socket.socket]]:
+    """A server, its one connection with a response that its client has not read yet, and the client."""
+    handler = Recorder(lambda reply: respond_with(reply, size))
+    server, address = start_downstream_server(handler)
+    with socket.socket() as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        client.connect(address)
+        client.setblocking(False)
+        client.send(request_bytes(1))
+        await handler.opened_requests.get()
+        (connection,) = server.connections
+        await until(lambda: connection.current is None)
+        assert connection.undelivered_bytes > size / 2
+        assert bool(connection.unsent_bytes) is (size == IN_PROXY_BYTES)
+        yield server, connection, client
+    await server.acceptor.close()
+
+
+async def end_process(server: DownstreamServer) -> None:
+    """Shut down, and close all connections as the end of the process would."""
+    await Drain(server, lambda: 0).shut_down()
+    for connection in list(server.connections):
+        connection.abort_connection()
+
+
+async def read_slowly(client: socket.socket, duration_s: float) -> int:
+    """Read at 64 kB/s for `duration_s`, then as fast as possible; returns the bytes until the end."""
+    loop = asyncio.get_running_loop()
+    began, received = time.monotonic(), 0
+    async with asyncio.timeout(PATIENCE):
+        while part := await loop.sock_recv(client, SLOW_READ_BYTES):
+            received += len(part)
+            if time.monotonic() < began + duration_s:
+                await asyncio.sleep(SLOW_READ_INTERVAL_S)
+    return received
+
+
+@pytest.mark.parametrize("respond_with", [respond, stream])
+@pytest.mark.parametrize("size", [IN_PROXY_BYTES, IN_KERNEL_BYTES])
+def test_a_slowly_read_response_arrives_complete_though_the_proxy_is_told_to_end(
+    respond_with: Callable[[ResponseSink, int], None], size: int
+) -> None:
+    """Guards against an end of the process that discards a response's last bytes (review case 6)."""
+
+    async def test() -> None:
+        async with unread_response(size, respond_with) as (server, _, client):
+            shutdown = asyncio.create_task(end_process(server))
+            assert await read_slowly(client, 2.5) > size
+            client.close()
+            async with asyncio.timeout(PATIENCE):
+                await shutdown
+
+    run(test())
+
+
+@pytest.mark.parametrize("size", [IN_PROXY_BYTES, IN_KERNEL_BYTES])
+def test_a_client_that_stops_reading_does_not_hold_the_end_of_the_proxy(size: int) -> None:
+    """Guards against waiting for ever for bytes that nobody reads (the other side of review case 6)."""
+
+    async def test() -> None:
+        async with unread_response(size) as (server, connection, client):
+            connection.delivery_progress.max_stall_s = STALL_S
+            assert client.recv(SLOW_READ_BYTES)
+            began = time.monotonic()
+            async with asyncio.timeout(PATIENCE):
+                await end_process(server)
+            assert time.monotonic() - began < CLIENT_STALL_S / 2
+            await until(lambda: not server.connections)
+
+    run(test())
+
+
+def test_a_client_that_takes_bytes_within_each_limit_has_not_stalled() -> None:
+    """The system of a slow client acknowledges in lumps, many seconds apart."""
+    progress = DeliveryProgress(max_stall_s=20.0, now=100.0)
+    assert not progress.has_stalled(119.0, 5000)  # written since
+    assert not progress.has_stalled(138.9, 5000)
+    assert not progress.has_stalled(138.9, 4000)
+    assert progress.has_stalled(158.9, 4000)
+    assert not progress.has_stalled(159.0, 3999)
