Keep a closing connection until its client has received the last response

A response counted as delivered once the kernel had taken it. _linger closed one second after that, and close() without lingering if the response was older: the kernel resets a connection that is closed over unread input, or gets input after its close, and discards up to 4 MB that the client had not received. Evidence: responses of 1 MB, which the kernel takes whole so that nothing waits in the proxy, are cut by a reset if the client sends a second request and arrive whole if it does not.

Change: both wait while the client acknowledges bytes, by ClientConnection.is_delivering.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -530,7 +530,7 @@
         self._linger(time.monotonic() + LINGER_S)
 
     def _linger(self, until: float) -> None:
-        """Close once the peer has closed, or LINGER_S after the response was written.
+        """Close once the peer has closed, or LINGER_S after the response was delivered or its client stalled.
 
         If the server is overloaded and the request was shed, close once the response was acknowledged.
         """
@@ -538,7 +538,7 @@
         if transport is None or transport.is_closing():
             return
         now = time.monotonic()
-        if transport.get_write_buffer_size():
+        if self.is_delivering:
             until = now + LINGER_S
         closed = peer_has_closed(transport.get_extra_info("socket").fileno())
         descriptor_is_needed = self.rejected and self.server.is_overloaded
@@ -612,15 +612,15 @@
     def close(self) -> None:
         """Close the connection if no response is pending.
 
-        Bytes that arrive from now on are not read, so the client may repeat its request. After a recent
-        response the connection lingers, so that the response is not lost.
+        Bytes that arrive from now on are not read, so the client may repeat its request. After a response
+        that is recent or not delivered yet the connection lingers, so that the response is not lost.
         """
         if self.transport is None or (self.closing and not self.discarding):
             return
         if self.current is not None:  # its body is incomplete, and a response could not be written any more
             self.abort_connection()
             return
-        if self.had_request and time.monotonic() < self.changed_at + LINGER_S:
+        if self.is_delivering or (self.had_request and time.monotonic() < self.changed_at + LINGER_S):
             self._close_gracefully()
             return
         self.closing, self.discarding = True, False
--- a/tests/net/test_response_delivery.py
+++ b/tests/net/test_response_delivery.py
@@ -88,14 +88,18 @@
 
 @pytest.mark.parametrize("respond_with", [respond, stream])
 @pytest.mark.parametrize("size", [IN_PROXY_BYTES, IN_KERNEL_BYTES])
+@pytest.mark.parametrize("sends_more", [False, True])
 def test_a_slowly_read_response_arrives_complete_though_the_proxy_is_told_to_end(
-    respond_with: Callable[[ResponseSink, int], None], size: int
+    respond_with: Callable[[ResponseSink, int], None], size: int, sends_more: bool
 ) -> None:
     """Guards against an end of the process that discards a response's last bytes (review case 6)."""
 
     async def test() -> None:
         async with unread_response(size, respond_with) as (server, _, client):
             shutdown = asyncio.create_task(end_process(server))
+            if sends_more:  # unread input, over which a close would reset the connection
+                await asyncio.sleep(1.0)
+                client.send(request_bytes(2))
             assert await read_slowly(client, 2.5) > size
             client.close()
             async with asyncio.timeout(PATIENCE):
@@ -104,6 +108,28 @@
     run(test())
 
 
+@pytest.mark.parametrize("close_reason", ["idle", "overdue"])
+@pytest.mark.parametrize("size", [IN_PROXY_BYTES, IN_KERNEL_BYTES])
+def test_a_slowly_read_response_arrives_complete_though_its_connection_is_closed(
+    close_reason: str, size: int
+) -> None:
+    """Guards against a close that resets the connection over input which arrives later (as review case 6)."""
+
+    async def test() -> None:
+        async with unread_response(size) as (server, connection, client):
+            connection.changed_at -= 10.0  # long after the response was written
+            if close_reason == "overdue":
+                connection.request_deadline.due_at = time.monotonic() - 1.0
+                server._sweep()
+            else:
+                server.close_idle()
+            assert connection.closing
+            client.send(request_bytes(2))
+            assert await read_slowly(client, 2.5) > size
+
+    run(test())
+
+
 @pytest.mark.parametrize("size", [IN_PROXY_BYTES, IN_KERNEL_BYTES])
 def test_a_client_that_stops_reading_does_not_hold_the_end_of_the_proxy(size: int) -> None:
     """Guards against waiting for ever for bytes that nobody reads (the other side of review case 6)."""
