Log how old the proof is by which servers are used after the endpoint list has expired

The line on an expired list tells that servers are used since they answered a probe, not when that probe was sent, so it can't tell a probe that crossed the drain from one that was sent long before.

Change: the line has oldest_verification_s, the age of the oldest answered probe of a server that is not withheld.

A probe that was answered during the drain, or a decision made before the expiry, would show a younger proof or withheld servers.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -576,6 +576,7 @@
                 f"age_s={now - freshness.current_as_of:.3f} failures={freshness.consecutive_failures} "
                 f"last_failure={freshness.last_failure.value!r} polled_s_ago={now - freshness.polled_at:.3f} "
                 f"verified_used={servers.uses_verified_servers} "
+                f"oldest_verification_s={servers.oldest_verification(now):.3f} "
                 f"withheld={sum(s.withheld for s in servers.pool)} servers={len(servers.pool)}"
             )
 
--- a/gladegw/balancing/server_selection.py
+++ b/gladegw/balancing/server_selection.py
@@ -398,6 +398,11 @@
             server.withheld = withheld
         return changes
 
+    def oldest_verification(self, now: float) -> float:
+        """Return the age in seconds of the oldest answered probe of a server that is not withheld."""
+        ages = [now - server.healthy_at for server in self.pool if not server.withheld]
+        return max(ages, default=0.0)
+
     def eject(self, server: Server, now: float, hard: bool) -> bool:
         """Eject a server for a time that doubles with each ejection; return whether it was ejected.
 
