Do not end a response for a stall of its backend while it waits for its client

Cause: Exchange._check_stream ended a streamed response that had not progressed for 20 s. While reading is paused for the client nothing can progress, and the kernel tells that there is room only when a third of its send buffer is free, 1.4 MB of 4 MB, which takes such a client over 20 s. The backend was blamed for it, too.

Change: while paused the limit does not run.

Both tests of test_response_delivery fail before the change (4,013,820 bytes of 16 MiB; a stopped client holds its connection past 10 s with its limit set to 0.4 s: there was no such limit) and pass with it; 113 tests of the streams, deadlines, closing and delivery pass.

--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -173,10 +173,17 @@
                 self.overdue_unread.add(connection)
         self.checked_at = now
 
+    def _abort_stalled(self) -> None:
+        """Abort connections whose clients have stopped reading a response that is still being streamed."""
+        for connection in [each for each in self.connections if each.write_buffer_full]:
+            if connection.current is not None and not connection.is_delivering:
+                connection.abort_connection()
+
     def _sweep(self) -> None:
-        """Close connections whose request is overdue, or that are idle too long."""
+        """Close connections whose request is overdue, that are idle too long, or whose client has stalled."""
         now = time.monotonic()
         self._close_overdue(now)
+        self._abort_stalled()
         self.close_idle(now - IDLE_TIMEOUT_S)
         self.abort(now - IDLE_TIMEOUT_S)
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/gladegw/net/upstream/exchange.py
+++ b/gladegw/net/upstream/exchange.py
@@ -21,7 +21,7 @@
 TIMER_LAG_S = 0.01  # a timer delayed by more lets the event loop read its sockets before it acts
 ONE_LOOP_TURN_S = 0.001  # delay of a timer that runs only after the loop has read its sockets
 UPLOAD_CHECK_INTERVAL_S = 0.1  # between checks whether the backend takes the body of a request
-STREAM_STALL_S = 20.0  # a streamed response that makes no progress for this long is aborted
+STREAM_STALL_S = 20.0  # a streamed response of which the backend sends nothing for this long is aborted
 
 
 def _empty_request() -> bytes:
@@ -174,12 +174,12 @@
         self.end(Status.TIMEOUT if self.sent else Status.NOT_SENT)
 
     def _check_stream(self, now: float) -> None:
-        """End a stalled response.
+        """End a response that its backend has stalled.
 
-        It has no time limit here while it makes progress; the downstream side limits the time that a client
-        may take.
+        It has no time limit here while it makes progress, or while it waits for its client: the downstream
+        side ends it if the client stops reading.
         """
-        if now < self.progressed_at + STREAM_STALL_S:
+        if self.paused or now < self.progressed_at + STREAM_STALL_S:
             self.timer = self.loop.call_later(STREAM_STALL_S / 4, self._on_timeout)
         else:
             self.end(Status.TIMEOUT)
--- a/tests/net/test_response_delivery.py
+++ b/tests/net/test_response_delivery.py
@@ -11,7 +11,7 @@
 
 import pytest
 from support.downstream import Recorder, request_bytes, start_downstream_server, until
-from support.loopback import PATIENCE, run
+from support.loopback import PATIENCE, Backend, Proxy, Seen, proxy, run
 
 from gladegw.limits.connection_eviction import ConnectionStage
 from gladegw.limits.delivery_progress import DeliveryProgress
@@ -23,6 +23,8 @@
 IN_PROXY_BYTES = 8 << 20  # of a response: more than the socket buffers hold, its end waits in the proxy
 IN_KERNEL_BYTES = 1 << 20  # of a response that the proxy's system takes at once, unlike the client's
 RECEIVE_BUFFER_BYTES = 1 << 16
+LARGE_BYTES = 16 << 20  # of a response that the proxy cannot read whole before its client reads
+PIECE_BYTES = 1 << 18
 SLOW_READ_BYTES = 1 << 14
 SLOW_READ_INTERVAL_S = 0.25  # 64 kB/s
 STALL_S = 0.4  # limit in tests of clients that stop reading
@@ -202,3 +204,55 @@
     assert not progress.has_stalled(138.9, 4000)
     assert progress.has_stalled(158.9, 4000)
     assert not progress.has_stalled(159.0, 3999)
+
+
+async def stream_to(client: socket.socket, node: Proxy) -> int:
+    """Connect a client with a small receive buffer, request a large response and read its begin.
+
+    Returns how many bytes of the body are still to come.
+    """
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(client, node.address)
+    await loop.sock_sendall(client, request_bytes(1))
+    head, _, begin = (await loop.sock_recv(client, SLOW_READ_BYTES)).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 ")
+    return LARGE_BYTES - len(begin)
+
+
+async def large_response(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE_BYTES)
+    for _ in range(LARGE_BYTES // PIECE_BYTES):
+        writer.write(bytes(PIECE_BYTES))
+        await writer.drain()
+
+
+def test_a_response_is_not_cut_off_while_it_waits_for_a_client_that_reads_slowly() -> None:
+    """Guards against a stall limit of backends that counts while reading is paused (review case 9)."""
+
+    async def test() -> None:
+        program = ("tests.support.short_stalls", str(STALL_S), str(CLIENT_STALL_S))
+        async with proxy({"s-1": Backend(large_response)}, program=program) as node:
+            with socket.socket() as client:
+                left = await stream_to(client, node)
+                assert await read_slowly(client, 3.0, left - 1) == left
+
+    run(test())
+
+
+def test_a_response_is_ended_once_its_client_stops_reading() -> None:
+    """Guards against a client that holds its connection and its backend's for ever (review case 9)."""
+
+    async def test() -> None:
+        backend = Backend(large_response)
+        program = ("tests.support.short_stalls", str(CLIENT_STALL_S), str(STALL_S))
+        async with proxy({"s-1": backend}, program=program) as node:
+            with socket.socket() as client:
+                left = await stream_to(client, node)
+                async with asyncio.timeout(CLIENT_STALL_S / 2):
+                    await backend.closed.get()
+                with contextlib.suppress(ConnectionError):
+                    assert await read_slowly(client, 0.0) < left
+
+    run(test())
