Deliver earlier responses of a connection when a later one breaks off

Cause: ClientConnection.abort closed at once, which discards what the transport holds, and over unread input resets the connection, which discards what the kernel holds. Both may be of earlier responses, which count as answered since they were written.

Change: after a broken response the connection is closed as after a last one: its sending side ends behind what was written, which shows that the response is not whole, and it is closed once the client has received that, has gone or has stopped reading.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -478,12 +478,13 @@
     def abort(self) -> None:
         """Break off the streamed response.
 
-        The client detects this, since neither the full length nor the last chunk was sent.
+        The client detects this, since neither the full length nor the last chunk was sent. Earlier responses
+        on the connection are still delivered.
         """
         pending, self.current, self.body_source, self.call = self.current, None, None, None
         if pending is not None:
             self._on_request_end(pending, 502)
-        self.abort_connection()
+        self._close_gracefully()
 
     def _on_answered(self, pending: PendingResponse, code: int) -> None:
         """Complete the open request and continue, or close the connection."""
--- a/tests/net/test_response_delivery.py
+++ b/tests/net/test_response_delivery.py
@@ -196,6 +196,35 @@
     run(test())
 
 
+@pytest.mark.parametrize("size", [IN_PROXY_BYTES, IN_KERNEL_BYTES])
+def test_a_response_arrives_complete_though_the_next_one_on_its_connection_breaks_off(size: int) -> None:
+    """Guards against a close after a fault that discards earlier responses (as review case 6)."""
+
+    async def test() -> None:
+        def answer(reply: ResponseSink) -> None:
+            if handler.opened_requests.qsize() == 1:
+                respond(reply, size)
+                return
+            reply.begin(NO_HEADERS, None, PassiveSource())
+            reply.send(b"y")
+            reply.abort()
+
+        handler = Recorder(answer)
+        server, address = start_downstream_server(handler)
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            client.connect(address)
+            client.setblocking(False)
+            client.send(request_bytes(1) + request_bytes(2))
+            await until(lambda: handler.opened_requests.qsize() == 2)
+            client.send(request_bytes(3))  # unread input, over which a close would reset the connection
+            received = await read_slowly(client, 2.0)
+            assert received > size
+        await server.acceptor.close()
+
+    run(test())
+
+
 def test_a_client_that_takes_bytes_within_each_limit_has_not_stalled() -> None:
     """The system of a slow client acknowledges in lumps, many seconds apart."""
     progress = DeliveryProgress(max_stall_s=20.0, now=100.0)
