Answer requests that were read behind a response without a length that breaks off

Cause: a response of unknown length is passed on after 50 ms, and then can neither be tried again nor be answered otherwise. Its end has to end the connection, and what was read behind it goes too.

Change: while requests wait behind it, a response that can still be buffered (64 KiB) is held until it is complete, or its deadline gives a final answer; UpstreamConnection asks Exchange.prefers_complete at each flush.

The new tests fail before the change (nothing behind the broken answer; a request read behind a streamed one), four cases, and pass with it; that of a client that closes passes with and without. 137 tests of streams, deadlines, delivery, closing, stalls, routes and attempts pass.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -117,7 +117,8 @@
         """Pause or resume reading.
 
         Reading is paused if the peer does not read its responses, has sent requests ahead of them, or sends a
-        body faster than the backend takes it.
+        body faster than the backend takes it. It is also paused while a response is streamed: if that breaks
+        off, the connection ends, and a client may repeat only a request that was not read.
         """
         if self.transport is None or self.transport.is_closing() or (self.closing and not self.discarding):
             return
@@ -128,7 +129,8 @@
         is_ahead = bool(self.queued) or (
             self.server.draining and self.current is not None and not self.receiving
         )
-        pause = not self.discarding and (self.write_buffer_full or is_ahead or is_stalled)
+        is_streaming = self.body_source is not None and self.current is not self.incoming
+        pause = not self.discarding and (self.write_buffer_full or is_ahead or is_stalled or is_streaming)
         if pause == self.reading_paused:
             return
         self.reading_paused = pause
@@ -448,6 +450,7 @@
             self._write(self._build_head(pending, 200, headers, length))
         if self.write_buffer_full:
             source.pause()
+        self._update_reading()
 
     def send(self, chunk: bytes) -> None:
         """Send the next part of a streamed body."""
@@ -475,6 +478,10 @@
         self.transport.abort()
         return True
 
+    def has_queued(self) -> bool:
+        """Whether further requests that were read wait behind the open one."""
+        return bool(self.queued)
+
     def abort(self) -> None:
         """Break off the streamed response.
 
@@ -586,6 +593,11 @@
         unacknowledged = unacknowledged_bytes(self.transport.get_extra_info("socket").fileno())
         return self.unsent_bytes + (unacknowledged or 0)
 
+    @property
+    def is_streaming_unread(self) -> bool:
+        """Whether a response is streamed while reading is paused: the client's close would go unnoticed."""
+        return self.body_source is not None and self.reading_paused
+
     @property
     def is_delivering(self) -> bool:
         """Whether written bytes are not delivered yet and the client still takes them.
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -174,9 +174,10 @@
         self.checked_at = now
 
     def _abort_stalled(self) -> None:
-        """Abort connections whose clients have stopped reading a response that is still being streamed."""
-        for connection in [each for each in self.connections if each.write_buffer_full]:
-            if connection.current is not None and not connection.is_delivering:
+        """Abort connections whose clients have gone or stopped reading while a response is streamed."""
+        for connection in [each for each in self.connections if each.is_streaming_unread]:
+            has_stalled = connection.write_buffer_full and not connection.is_delivering
+            if not connection.hung_up() and has_stalled:
                 connection.abort_connection()
 
     def _sweep(self) -> None:
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -441,6 +441,8 @@
             on_end,
             self.shared.counters.on_attempt,
             on_streaming,
+            # If a response breaks off that is already being streamed, the requests behind it are lost.
+            call.reply.has_queued,
         )
         if request.upload is not None:
             exchange.upload = request.upload
--- a/gladegw/net/interfaces.py
+++ b/gladegw/net/interfaces.py
@@ -61,6 +61,10 @@
         """Whether the client has closed its connection, even if the event loop has not noticed yet."""
         ...
 
+    def has_queued(self) -> bool:
+        """Whether further requests that were read wait behind this one's response."""
+        ...
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         """Send a complete response."""
 
--- a/gladegw/net/routes.py
+++ b/gladegw/net/routes.py
@@ -72,6 +72,10 @@
         """Always False."""
         return False
 
+    def has_queued(self) -> bool:
+        """Always False."""
+        return False
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         """Discard the response."""
         pass
@@ -119,6 +123,10 @@
         """Whether the client has closed its connection."""
         return self.reply.hung_up()
 
+    def has_queued(self) -> bool:
+        """Whether further requests of the client wait behind the response."""
+        return self.reply.has_queued()
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         """Pass on the response, unless it is a rejection after which a fallback pool can take the request."""
         unsent = self.call is None or not self.call.attempts
--- a/gladegw/net/upstream/connections.py
+++ b/gladegw/net/upstream/connections.py
@@ -164,9 +164,7 @@
             self.until_close = self.length is None and b"transfer-encoding" not in headers
             if self.length is None:
                 self.length = UNDECLARED_LENGTH
-                self.flush_timer = self.upstream.owner.loop.call_later(
-                    FLUSH_TIMEOUT_S, self._start_streaming, code
-                )
+                self.flush_timer = self.upstream.owner.loop.call_later(FLUSH_TIMEOUT_S, self._flush, code)
             elif self.length > MAX_BUFFERED_BYTES:
                 self._start_streaming(code)
 
@@ -186,6 +184,13 @@
             if exchange.sink is None:
                 raise ValueError("no receiver for a large body" if code == 200 else "response body too large")
 
+    def _flush(self, code: int) -> None:
+        """Start streaming a slow response, unless it should be complete first and can still be buffered."""
+        if self.exchange is not None and self.exchange.prefers_complete():
+            self.flush_timer = self.upstream.owner.loop.call_later(FLUSH_TIMEOUT_S, self._flush, code)
+            return
+        self._start_streaming(code)
+
     def _start_streaming(self, code: int) -> None:
         """Stream the response from now on, starting with its buffered bytes."""
         exchange = self.exchange
--- a/gladegw/net/upstream/exchange.py
+++ b/gladegw/net/upstream/exchange.py
@@ -34,6 +34,11 @@
     return False
 
 
+def _stream_at_once() -> bool:
+    """The default of `prefers_complete`, which also replaces it once the exchange has ended."""
+    return False
+
+
 def _ignore_end(exchange: Exchange) -> None:
     """Replaces `on_end` once the exchange has ended, so that it cannot be called twice."""
 
@@ -45,7 +50,8 @@
     may have ended or the backend begun to drain. `request` is called only then and returns the bytes to send,
     which may contain the remaining time. `on_sent` is called when the last byte of the request is sent,
     `on_streaming` when a response is to be streamed (it sets `sink`, or returns False if the response is not
-    wanted any more), and `on_end` exactly once, with `status` set.
+    wanted any more), `prefers_complete` to ask whether one that may still be buffered should not be streamed
+    before it is complete, and `on_end` exactly once, with `status` set.
     """
 
     __slots__ = (
@@ -63,6 +69,7 @@
         "on_sent",
         "on_streaming",
         "paused",
+        "prefers_complete",
         "progressed_at",
         "request",
         "request_complete",
@@ -86,6 +93,7 @@
         on_end: Callable[[Exchange], None],
         on_sent: Callable[[], None] | None = None,
         on_streaming: Callable[[Exchange, int | None], bool] | None = None,
+        prefers_complete: Callable[[], bool] = _stream_at_once,
     ) -> None:
         self.upstream, self.request, self.timeout = upstream, request, timeout
         self.may_start, self.on_end, self.on_sent, self.on_streaming = (
@@ -94,6 +102,7 @@
             on_sent,
             on_streaming,
         )
+        self.prefers_complete = prefers_complete
         self.loop = upstream.owner.loop
         self.started_at = time.monotonic()
         self.status: Status | None = None
@@ -150,6 +159,7 @@
         """
         self.request, self.may_start, self.on_end = _empty_request, _never_start, _ignore_end
         self.on_streaming = self.on_sent = None
+        self.prefers_complete = _stream_at_once
 
     def cancel(self) -> None:
         """End the exchange because its response is not needed any more."""
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -146,6 +146,38 @@
     run(test())
 
 
+@pytest.mark.parametrize("length", [None, 5])
+def test_a_request_behind_a_streamed_response_is_read_only_after_its_end(length: int | None) -> None:
+    """If the response breaks off, the client may repeat a request that was not read (as review case 10)."""
+
+    class PassiveSource:
+        def pause(self) -> None:
+            pass
+
+        def resume(self) -> None:
+            pass
+
+    async def test() -> None:
+        handler = Recorder()
+        server, address = start_downstream_server(handler)
+        with socket.create_connection(address) as client:
+            client.send(request_bytes(1))
+            await handler.opened_requests.get()
+            handler.replies[0].begin(NO_HEADERS, length, PassiveSource())
+            client.send(request_bytes(2))
+            (connection,) = server.connections
+            await until(lambda: connection.unread)
+            await asyncio.sleep(0.1)
+            assert connection.unread and not connection.queued
+            handler.replies[0].send(b"whole")
+            handler.replies[0].finish()
+            async with asyncio.timeout(PATIENCE):
+                assert (await handler.opened_requests.get()).id == b"2"
+        await server.acceptor.close()
+
+    run(test())
+
+
 def test_the_caller_helper_reads_one_response_at_a_time() -> None:
     """The tests above rely on `Caller.answer` to return the responses one by one and in order."""
 
--- a/tests/net/test_stalls.py
+++ b/tests/net/test_stalls.py
@@ -62,6 +62,9 @@
     def hung_up(self) -> bool:
         return False
 
+    def has_queued(self) -> bool:
+        return False
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         self.code = code
 
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -304,6 +304,58 @@
     run(test())
 
 
+@pytest.mark.parametrize("framing", ["close", "chunked"])
+def test_requests_pipelined_behind_a_response_that_breaks_off_are_answered(framing: str) -> None:
+    """Guards against the loss of requests read behind a response without a length (review case 10)."""
+
+    async def test() -> None:
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if b"/stock" in head:
+                writer.write(response(200, b"whole"))
+                return
+            await read_body(head, reader)
+            start = (
+                b"Transfer-Encoding: chunked\r\n\r\n5\r\nbegin\r\n" if framing == "chunked" else b"\r\nbegin"
+            )
+            writer.write(b"HTTP/1.1 200 OK\r\n" + start)
+            await writer.drain()
+            await asyncio.sleep(0.4)
+            reset_connection(writer)
+
+        async with proxy_with_backend(act) as (node, _):
+            caller = await node.caller()
+            heads = [request_head("canje", "a" * 16, "Content-Length: 0")]
+            heads += [request_head("stock", f"{number:016x}") for number in range(3)]
+            caller.writer.write(b"".join(heads))
+            answers = [await read_answer(caller.reader) for _ in heads]
+            codes = [code for code, _, _ in answers]
+            assert codes[0] == 502 and codes[-1] == 200
+            assert set(codes[1:]) <= {200, 503}, codes  # the one backend has just failed
+
+    run(test())
+
+
+def test_a_client_that_closes_while_its_streamed_response_pauses_cancels_it() -> None:
+    """Reading is paused while a response is streamed, so the close is not read."""
+
+    async def test() -> None:
+        async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"a" * 100_000)
+            await asyncio.sleep(PATIENCE)
+
+        async with proxy_with_backend(act) as (node, _):
+            caller = await node.caller()
+            caller.writer.write(request_head("stock", "a" * 16, budget="9000m"))
+            await caller.reader.readuntil(b"\r\n\r\n")
+            await caller.reader.readexactly(100_000)
+            caller.writer.close()
+            async with asyncio.timeout(1.0):
+                while (await node.figures())["app.in_progress"]:
+                    await asyncio.sleep(0.02)
+
+    run(test())
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Reset the connection."""
     sock = writer.get_extra_info("socket")
