Reset an HTTP/1.0 client's connection when a response without a length breaks off

What callers saw: a client of HTTP/1.0 gets the begin of a response without a length and then a regular end of the connection, which is how such a response ends: it takes the part for the whole.

Cause: chunks, whose missing end shows a broken response, are unknown to HTTP/1.0, so such a response ends with the connection. Breaking it off closed the connection in the same way.

Change: the connection of such a response is reset (SO_LINGER without time) when it breaks off.

Measured: the test of a response that breaks off now has a case of HTTP/1.0 for each framing; two of three (chunked, until the close) fail before and pass with it. 123 tests of streams, deadlines, delivery and closing pass.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -22,6 +22,7 @@
     all_acknowledged,
     has_unread,
     peer_has_closed,
+    reset_on_close,
     time_since_data,
     unacknowledged_bytes,
 )
@@ -67,6 +68,7 @@
         self.call: object | None = None  # the handler's identification of the open request
         self.body_source: FlowControl | None = None  # of the streamed response
         self.chunked = False  # the length of the streamed response is unknown
+        self.until_close = False  # the same, and the client does not know chunks
         self.closing = False
         self.rejected = False  # a request was shed for lack of capacity
         self.discarding = False  # the rest of a request that was answered early is discarded
@@ -424,7 +426,8 @@
         ):
             pending.keep_alive = False
         self.chunked = length is None and not pending.http_1_0
-        if length is None and not self.chunked:
+        self.until_close = length is None and pending.http_1_0
+        if self.until_close:
             pending.keep_alive = False
         return response_head(pending, code, headers, length)
 
@@ -486,12 +489,16 @@
         """Break off the streamed response.
 
         The client detects this, since neither the full length nor the last chunk was sent. Earlier responses
-        on the connection are still delivered.
+        on the connection are still delivered. A response that ends with the connection is reset instead.
         """
         pending, self.current, self.body_source, self.call = self.current, None, None, None
         if pending is not None:
             self._on_request_end(pending, 502)
-        self._close_gracefully()
+        if self.until_close and self.transport is not None:
+            reset_on_close(self.transport.get_extra_info("socket").fileno())
+            self.abort_connection()
+        else:
+            self._close_gracefully()
 
     def _on_answered(self, pending: PendingResponse, code: int) -> None:
         """Complete the open request and continue, or close the connection."""
--- a/gladegw/net/sockets.py
+++ b/gladegw/net/sockets.py
@@ -13,6 +13,7 @@
 LAST_RECEIVED, LAST_RECEIVED_OFFSET = struct.Struct("I"), 52  # tcpi_last_data_recv in struct tcp_info, ms
 LAST_RECEIVED_END = LAST_RECEIVED_OFFSET + LAST_RECEIVED.size
 UNSENT = struct.Struct("i")  # result of TIOCOUTQ: number of bytes not sent or not acknowledged
+NO_LINGER = struct.pack("ii", 1, 0)  # struct linger: on, for no time
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 OPEN_RETRY_INTERVAL_S = 0.01  # between attempts to open a socket
 MAX_OPEN_ATTEMPTS = 100
@@ -68,6 +69,15 @@
     return unacknowledged_bytes(fileno) == 0
 
 
+def reset_on_close(fileno: int) -> None:
+    """Let the close of the connection reset it, so that the peer does not take it for a regular end."""
+    borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fileno)
+    try:
+        borrowed.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    finally:
+        borrowed.detach()
+
+
 def time_since_data(connection: socket.socket) -> float:
     """Seconds since data was last received on the connection (Linux); 0 if this cannot be determined."""
     try:
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -278,8 +278,11 @@
     run(test())
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
 @pytest.mark.parametrize("framing", ["length", "chunked", "close"])
-def test_a_response_that_breaks_off_reaches_the_client_detectably_incomplete(framing: str) -> None:
+def test_a_response_that_breaks_off_reaches_the_client_detectably_incomplete(
+    framing: str, version: str
+) -> None:
     async def test() -> None:
         async def act(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             start = {
@@ -294,7 +297,7 @@
 
         async with proxy_with_backend(act) as (node, backend):
             caller = await node.caller()
-            caller.writer.write(request_head("stock", "a" * 16))
+            caller.writer.write(request_head("stock", "a" * 16, version=version))
             with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
                 await read_answer(caller.reader)
             figures = await node.figures()
