--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -12,19 +12,17 @@
 
 from gladegw.limits.buffer_budget import HEADER_OVERHEAD_BYTES, MAX_BUFFERED_BYTES
 from gladegw.limits.connection_eviction import ConnectionStage
-from gladegw.limits.delivery_progress import DeliveryProgress
 from gladegw.limits.request_timeouts import RequestDeadline
 from gladegw.limits.unfinished_element import ElementTooLongError, UnfinishedElement
+from gladegw.net.downstream.delivery import ResponseDelivery
 from gladegw.net.downstream.pending_response import PendingResponse, response_head
 from gladegw.net.interfaces import ClientIdentity, FlowControl, RequestInfo
 from gladegw.net.request import BadRequestError, Request, class_of, origin_form, read_head
 from gladegw.net.sockets import (
-    all_acknowledged,
     has_unread,
     peer_has_closed,
     reset_on_close,
     time_since_data,
-    unacknowledged_bytes,
 )
 from gladegw.net.tls import subject
 from gladegw.net.upload import RequestBody
@@ -37,7 +35,6 @@
 MAX_BODY_BYTES = 32 * 1024 * 1024  # bytes of a request's body
 MAX_HEAD_BYTES = 32 * 1024  # bytes of a request's target and headers, and the overhead of these
 LINGER_S = 1.0  # time that the peer has to close after its last response
-CLIENT_STALL_S = 20.0  # a client whose system acknowledges nothing for this long has stopped reading
 MAX_UNREAD_S = 10.0  # limit of the time credited for bytes that waited unread; more is implausible
 LINGER_CHECK_INTERVAL_S = 0.01  # between checks whether the peer has closed
 OVERLOADED_CHECK_INTERVAL_S = 0.001  # the same while the server is overloaded
@@ -75,21 +72,21 @@
         self.changed_at = accepted_at  # when bytes were last received or sent
         self.write_buffer_full = False  # the peer does not read fast enough
         self.reading_paused = False
-        self.has_written = False  # since all written bytes were last seen to be delivered
-        self.delivery_progress = DeliveryProgress(CLIENT_STALL_S, accepted_at)
+        self.delivery = ResponseDelivery(accepted_at)
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection (called by the event loop)."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a transport class of its own
         self.transport.set_write_buffer_limits(high=len(self.server.scratch))
+        self.delivery.transport = self.transport
         if self.peer is not None and transport.get_extra_info("ssl_object") is not None:
             self.peer.subject = subject(transport.get_extra_info("peercert"))
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and cancel its open request (called by the event loop)."""
-        self.transport = None
+        self.transport = self.delivery.transport = None
         self.closing = True
         self._discard_queued()
         self.server.on_closed(self)
@@ -431,18 +428,12 @@
             pending.keep_alive = False
         return response_head(pending, code, headers, length)
 
-    def _write(self, data: bytes) -> None:
-        """Write bytes of a response, unless the connection has been closed."""
-        if self.transport is not None:
-            self.has_written = True
-            self.transport.write(data)
-
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         """Send a complete response to the open request."""
         pending = self._open_response()
         if self.transport is not None:
             head = self._build_head(pending, code, headers, len(body))
-            self._write(head if pending.bodyless else head + body)
+            self.delivery.write(head if pending.bodyless else head + body)
         self._on_answered(pending, code)
 
     def begin(self, headers: Any, length: int | None, source: FlowControl) -> None:
@@ -450,7 +441,7 @@
         pending = self._open_response()
         self.body_source = source
         if self.transport is not None:
-            self._write(self._build_head(pending, 200, headers, length))
+            self.delivery.write(self._build_head(pending, 200, headers, length))
         if self.write_buffer_full:
             source.pause()
         self._update_reading()
@@ -459,14 +450,14 @@
         """Send the next part of a streamed body."""
         if self.transport is not None and chunk:
             self.changed_at = time.monotonic()
-            self._write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if self.chunked else chunk)
+            self.delivery.write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if self.chunked else chunk)
 
     def finish(self) -> None:
         """End the streamed response."""
         pending = self.current
         if pending is not None:
             if self.chunked:
-                self._write(b"0\r\n\r\n")
+                self.delivery.write(b"0\r\n\r\n")
             self._on_answered(pending, 200)
 
     def hung_up(self) -> bool:
@@ -553,7 +544,7 @@
         if transport is None or transport.is_closing():
             return
         now = time.monotonic()
-        if self.is_delivering:
+        if self.delivery.in_progress:
             until = now + LINGER_S
         closed = peer_has_closed(transport.get_extra_info("socket").fileno())
         descriptor_is_needed = self.rejected and self.server.is_overloaded
@@ -568,7 +559,7 @@
         """The stage of the connection, for the eviction policy."""
         if self.current is not None or self.queued:
             return ConnectionStage.PENDING
-        if self.is_delivering:
+        if self.delivery.in_progress:
             return ConnectionStage.DELIVERING
         if self.closing and not self.discarding:
             return ConnectionStage.CLOSING
@@ -584,43 +575,13 @@
     @property
     def delivered(self) -> bool:
         """Whether closing now loses nothing: all written bytes were acknowledged."""
-        if self.transport is None or self.transport.is_closing():
-            return True
-        fileno = self.transport.get_extra_info("socket").fileno()
-        if peer_has_closed(fileno):
-            return True
-        written = self.transport.get_write_buffer_size() == 0 and all_acknowledged(fileno)
-        return written and not has_unread(fileno)
-
-    @property
-    def undelivered_bytes(self) -> int:
-        """Bytes of responses that the client's system has not acknowledged, as far as this is known."""
-        if self.transport is None:
-            return 0
-        unacknowledged = unacknowledged_bytes(self.transport.get_extra_info("socket").fileno())
-        return self.unsent_bytes + (unacknowledged or 0)
+        return self.delivery.close_loses_nothing
 
     @property
     def is_streaming_unread(self) -> bool:
         """Whether a response is streamed while reading is paused: the client's close would go unnoticed."""
         return self.body_source is not None and self.reading_paused
 
-    @property
-    def is_delivering(self) -> bool:
-        """Whether written bytes are not delivered yet and the client still takes them.
-
-        A client that has closed its side has gone, and one that has stalled has stopped reading.
-        """
-        if not self.has_written or self.transport is None:
-            return False
-        undelivered = self.undelivered_bytes
-        if not undelivered:
-            self.has_written = False
-            return False
-        if peer_has_closed(self.transport.get_extra_info("socket").fileno()):
-            return False
-        return not self.delivery_progress.has_stalled(time.monotonic(), undelivered)
-
     def overdue(self, now: float) -> bool:
         """Whether the awaited request missed its deadline; False while another response is pending."""
         if self.current is not None and self.current is not self.incoming:
@@ -642,21 +603,16 @@
         if self.current is not None:  # its body is incomplete, and a response could not be written any more
             self.abort_connection()
             return
-        if self.is_delivering or (self.had_request and time.monotonic() < self.changed_at + LINGER_S):
+        if self.delivery.in_progress or (self.had_request and time.monotonic() < self.changed_at + LINGER_S):
             self._close_gracefully()
             return
         self.closing, self.discarding = True, False
         self.transport.close()
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes of responses that the kernel has not accepted yet; aborting the connection discards them."""
-        return 0 if self.transport is None else self.transport.get_write_buffer_size()
-
     def abort_connection(self) -> None:
         """Close immediately and discard unwritten bytes, which frees the descriptor."""
-        if self.unsent_bytes:
-            self.server.log_discarded_bytes(self.unsent_bytes, self.stage)
+        if self.delivery.unsent_bytes:
+            self.server.log_discarded_bytes(self.delivery.unsent_bytes, self.stage)
         self.closing, self.discarding = True, False
         if self.transport is not None:
             self.transport.abort()
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -155,7 +155,7 @@
         """
         for connection in list(self.connections):
             is_unused = connection.closing and connection.changed_at <= unused_since
-            if is_unused and not connection.is_delivering:
+            if is_unused and not connection.delivery.in_progress:
                 connection.abort_connection()
 
     def _close_overdue(self, now: float) -> None:
@@ -176,7 +176,7 @@
     def _abort_stalled(self) -> None:
         """Abort connections whose clients have gone or stopped reading while a response is streamed."""
         for connection in [each for each in self.connections if each.is_streaming_unread]:
-            has_stalled = connection.write_buffer_full and not connection.is_delivering
+            has_stalled = connection.write_buffer_full and not connection.delivery.in_progress
             if not connection.hung_up() and has_stalled:
                 connection.abort_connection()
 
--- a/tests/net/test_response_delivery.py
+++ b/tests/net/test_response_delivery.py
@@ -15,7 +15,8 @@
 
 from gladegw.limits.connection_eviction import ConnectionStage
 from gladegw.limits.delivery_progress import DeliveryProgress
-from gladegw.net.downstream.connection import CLIENT_STALL_S, NO_HEADERS, ClientConnection
+from gladegw.net.downstream.connection import NO_HEADERS, ClientConnection
+from gladegw.net.downstream.delivery import CLIENT_STALL_S
 from gladegw.net.downstream.server import DownstreamServer
 from gladegw.net.drain import Drain
 from gladegw.net.interfaces import ResponseSink
@@ -65,8 +66,8 @@
         await handler.opened_requests.get()
         (connection,) = server.connections
         await until(lambda: connection.current is None)
-        assert connection.undelivered_bytes > size / 2
-        assert bool(connection.unsent_bytes) is (size == IN_PROXY_BYTES)
+        assert connection.delivery.undelivered_bytes > size / 2
+        assert bool(connection.delivery.unsent_bytes) is (size == IN_PROXY_BYTES)
         yield server, connection, client
     await server.acceptor.close()
 
@@ -143,7 +144,7 @@
 
     async def test() -> None:
         async with unread_response(size) as (server, connection, client):
-            connection.delivery_progress.max_stall_s = STALL_S
+            connection.delivery.progress.max_stall_s = STALL_S
             assert client.recv(SLOW_READ_BYTES)
             began = time.monotonic()
             async with asyncio.timeout(PATIENCE):
@@ -169,7 +170,7 @@
                 client.send(request_bytes(2))  # unread input, over which a close would reset the connection
             connection.changed_at -= 10.0  # long after the response was written
             if not reads:
-                connection.delivery_progress.max_stall_s = STALL_S
+                connection.delivery.progress.max_stall_s = STALL_S
                 await until(lambda: connection.stage is stage)
             server._evict(1)
             if reads:
