Let the demo run with the tools' extra alone

What users saw: sh demo.sh in a fresh clone ends with exit 2 and 'this command needs grpclib: pip install gladegw[coordination]'; so do gladegw rig, load and experiment where only the extra rig is installed.

Cause: rig/play.py imports the store of a scenario, which needs grpclib, though few scenarios have a store.

--- a/gladegw/rig/play.py
+++ b/gladegw/rig/play.py
@@ -8,21 +8,20 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from gladegw.rig import process
 from gladegw.rig.errors import RigError
 from gladegw.rig.faults import schedule
-from gladegw.rig.faults.coordinated import Coordinated
 from gladegw.rig.faulty_versions import HARMS
 from gladegw.rig.judging import ledger
 from gladegw.rig.nodes.fleet import FleetPlan, Order
 from gladegw.rig.nodes.settings import MUST_ASK, config
 from gladegw.rig.ports import free_port
 from gladegw.rig.proxy import Proxy
-from gladegw.rig.scenario import Scenario
+from gladegw.rig.scenario import Scenario, Store
 from gladegw.rig.traffic import flood
 from gladegw.rig.traffic.arrivals import Shape
 from gladegw.rig.traffic.load import LEAD, Load, Loaded
@@ -33,9 +32,19 @@
 UP_WITHIN = 60.0  # s for the fleet
 END_WITHIN = 8.0  # s after SIGTERM, as long as the longest deadline takes and more
 
+if TYPE_CHECKING:
+    from gladegw.rig.faults.coordinated import Coordinated
+
 Progress = Callable[[float, dict[str, Any], dict[str, ledger.Sample]], None]
 
 
+def coordinated(settings: Store, folder: Path) -> Coordinated:
+    """The store of a scenario, whose code needs the extra `coordination`."""
+    from gladegw.rig.faults.coordinated import Coordinated
+
+    return Coordinated(settings, folder)
+
+
 def mix_of(scenario: Scenario) -> Mix:
     """Worth counts for each unit of work, so that a heavy request is worth more than a light one."""
     load = scenario.load
@@ -80,7 +89,7 @@
             old.unlink()
         (folder / "scenario.json").write_bytes(msgspec.json.encode(scenario))
         (folder / "script.json").write_bytes(msgspec.json.encode(self.steps))
-        self.store = Coordinated(scenario.store, folder) if scenario.store is not None else None
+        self.store = coordinated(scenario.store, folder) if scenario.store is not None else None
         self.book = ledger.Ledger(folder / "rig.jsonl")
         asked = scenario.operators
         self.operators = Operators(self.book, asked.every_s) if asked is not None else None
