Do not trust the configured list where lists are pushed and the agent is silent

What callers saw: a process starts while its agent is silent, as when discovery is down.

Cause: the list of the configuration counted as current from the start for 6.3 s.

Change: for pushed lists the start is such a time (EndpointFreshness.unconfirmed_since): after the drain's margin of 0.3 s servers are used only if they have answered a probe that was sent since, and all are probed at the start. Where probes are forbidden none is used until the agent is heard. discovery_rejects is now trusts_probes, since it no longer tells of discovery alone.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -570,7 +570,7 @@
         if not expired and not servers.list_expired:
             return
         expiry_changed = expired != servers.list_expired
-        servers.list_expired, servers.discovery_rejects = expired, freshness.is_rejected
+        servers.list_expired, servers.trusts_probes = expired, freshness.trusts_probes(now)
         if servers.withhold(now) or expiry_changed:
             self.log(
                 f"endpoint list {'expired' if expired else 'current again'}: "
--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -62,6 +62,9 @@
         self.current_as_of = 0.0  # no change before this time can have been missed
         self.address_changed_at = math.inf  # first change of discovery's address that has not answered since
         self.address_changes: list[float] = []  # times of all these changes that may still matter
+        # Start of a process whose lists are pushed; finite until an update. All that its agent has counts as
+        # known from then on, also while the agent is silent.
+        self.unconfirmed_since = math.inf
         self.silence_noticed_at = math.inf  # when a call was left without an answer; finite until an update
         self.polled_at = -math.inf  # start of the watch or of its current call
         # How long attempts may begin after a drain counts as known, so that the grace covers a delay.
@@ -87,6 +90,9 @@
             self.polled_at = now
             self.address_changed_at = self.silence_noticed_at = math.inf
             self.address_changes = []
+            self.unconfirmed_since = math.inf
+        elif self.watch_is_confirmed and not self.shares_discovery and not self.current_as_of:
+            self.unconfirmed_since = now
         self.current_as_of = max(self.current_as_of, min(now, as_of))
 
     def on_address_change(self, changed_at: float) -> None:
@@ -128,6 +134,7 @@
         """Copy the age of the list from an instance that has followed the same discovery."""
         self.consecutive_failures, self.last_failure = other.consecutive_failures, other.last_failure
         self.current_as_of, self.address_changed_at = other.current_as_of, other.address_changed_at
+        self.unconfirmed_since = other.unconfirmed_since
         self.silence_noticed_at, self.address_changes = other.silence_noticed_at, list(other.address_changes)
 
     def should_poll(self, now: float) -> bool:
@@ -146,16 +153,18 @@
         if self.watch_is_confirmed and not self.consecutive_failures:
             # A process that stalls polls no more; discovery waits four times as long after a failed call.
             valid_for = min(valid_for, self.max_poll_gap + self.send_margin)
-        return min(self.current_as_of + valid_for, expires_after_move)
+        expires_after_start = self.unconfirmed_since + max(MIN_VALIDITY_S, self.send_margin)
+        return min(self.current_as_of + valid_for, expires_after_move, expires_after_start)
 
     @property
     def all_known_at(self) -> list[float]:
         """The times by which all that discovery has counts as known, however lately it changed.
 
-        They follow each change of discovery's address and a watch that fell silent; infinite without that.
+        They follow each change of discovery's address, a watch that fell silent, and the start of a process
+        with pushed lists; infinite without that.
         """
         after_moves = [changed_at + CHANGE_KNOWN_AFTER_MOVE_S for changed_at in self.address_changes]
-        return [*after_moves, self.silence_noticed_at + CHANGE_KNOWN_AFTER_S]
+        return [*after_moves, self.silence_noticed_at + CHANGE_KNOWN_AFTER_S, self.unconfirmed_since]
 
     def latest_all_known_at(self, now: float) -> float:
         """Return the latest of these times that has passed, or minus infinity."""
@@ -191,9 +200,14 @@
         """
         return not self.is_watched_silently and now > self.expires_at
 
-    @property
-    def is_rejected(self) -> bool:
-        """Whether discovery has rejected the latest call: it is down, or overloaded."""
+    def trusts_probes(self, now: float) -> bool:
+        """Return whether an expired list may be used through servers that have answered probes.
+
+        Discovery has rejected the latest call, since it is down or overloaded, or a process with pushed lists
+        has just started and its agent is silent.
+        """
+        if now <= self.unconfirmed_since + self.valid_for < math.inf:
+            return True
         return self.consecutive_failures > 0 and self.last_failure is not DiscoveryFailure.UNANSWERED
 
     def next_answer_in(self, now: float) -> float:
--- a/gladegw/balancing/health_checks.py
+++ b/gladegw/balancing/health_checks.py
@@ -65,7 +65,7 @@
 
     def unverified_servers(self, now: float) -> list[Server]:
         """Return the servers that will be withheld once the list expires unless a probe verifies them."""
-        verification_counts = self.freshness.is_rejected or self.servers.drains_revealed
+        verification_counts = self.freshness.trusts_probes(now) or self.servers.drains_revealed
         if not (verification_counts and self.freshness.is_going_stale(now)):
             return []
         since = max(now - PROBE_ROUND_S, self.freshness.latest_all_known_at(now))
--- a/gladegw/balancing/server_selection.py
+++ b/gladegw/balancing/server_selection.py
@@ -118,7 +118,7 @@
         self.pool: list[Server] = []
         self.rings: dict[str, list[Server]] = {}  # serving servers by zone
         self.list_expired = False  # the list may lack a drain that counts as known
-        self.discovery_rejects = False  # discovery answers calls, but rejects them
+        self.trusts_probes = False  # a server that answers probes may be used though the list has expired
         self.drains_revealed = False  # a draining server has failed a probe
         self.drains_hidden = False  # a draining server has answered a probe
         self.mean_load = Mean(1.0)
@@ -380,7 +380,7 @@
         """Whether servers that answer probes are used though the list has expired."""
         if not self.settings.may_probe or self.drains_hidden:
             return False
-        return self.drains_revealed or self.discovery_rejects
+        return self.drains_revealed or self.trusts_probes
 
     def verified_until(self, server: Server) -> float:
         """Return until when the server may be used by the latest probe that it answered."""
@@ -392,7 +392,8 @@
         Prevents sending to a server whose drain counts as known. Drawback: no call is served while discovery
         does not answer, although most servers could serve. Servers that have lately answered a probe are used
         if draining servers have been seen to fail probes; and, as long as none was seen to answer one, while
-        discovery rejects calls: a whole fleet may be rejected for many seconds, in an outage or after one.
+        discovery rejects calls: a whole fleet may be rejected for many seconds, in an outage or after one. A
+        process whose agent is silent at its start knows no more of its servers than their probes tell.
         """
         changes = 0
         uses_verified = self.uses_verified_servers
--- a/tests/net/test_expired_lists.py
+++ b/tests/net/test_expired_lists.py
@@ -11,6 +11,7 @@
 import asyncio
 import json
 import signal
+import tempfile
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
@@ -19,7 +20,7 @@
 
 import pytest
 from support.faulty_discovery import CallFault, FaultyDiscovery
-from support.loopback import SETTINGS, Caller, run
+from support.loopback import SETTINGS, Caller, config, free_address, run, start_program, until_ready
 from support.proxies import Proxies, proxies
 
 from gladegw.rig.nodes.many import ManyServers
@@ -182,6 +183,58 @@
     run(play_all((outage(probes=True, healthy=True), *rejected)))
 
 
+@asynccontextmanager
+async def started_in_silence(known: dict[str, object], discovery: FaultyDiscovery) -> AsyncIterator[Proxies]:
+    """A proxy with pushed lists, ready with the list of its configuration, while its agent is silent."""
+    limits = {**SETTINGS["policy_limits"], "probes": True}
+    listen = free_address()
+    host, _, port = listen.rpartition(":")
+    raw = config(
+        discovery.address,
+        known,
+        listen,
+        discovery_mode="push",
+        contract=CONTRACT,
+        policy_limits=limits,
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        process = await start_program(raw, folder)
+        try:
+            await until_ready((host, int(port)))
+            yield Proxies([process], [(host, int(port))], [[]], [])
+        finally:
+            process.kill()
+            await process.wait()
+
+
+def test_a_process_that_starts_while_its_agent_is_silent_sends_only_to_servers_that_answer_probes() -> None:
+    """Guards against use of a server whose drain the agent has known since before the start (review 2)."""
+
+    async def test() -> None:
+        servers = await ManyServers(SERVERS, REQUEST_TIME_S).start()
+        discovery = await FaultyDiscovery().start()
+        servers.rejects, servers.healthy_draining = False, False
+        known = servers.listing(1)
+        servers.draining = {0, 1, 2}
+        discovery.fail_calls(CallFault.SILENT)
+        async with started_in_silence(known, discovery) as fleet:
+            ready_at = time.monotonic()
+            clients = [
+                asyncio.create_task(fleet.ask(fleet.addresses[0], REQUEST_INTERVAL_S)) for _ in range(CLIENTS)
+            ]
+            await asyncio.sleep(WATCHED_AFTER_MOVE_S)
+            for task in clients:
+                task.cancel()
+        servers.stop()
+        discovery.server.close()
+        late = servers.calls_to({0, 1, 2}, ready_at + DRAIN_GRACE_S)
+        served = fleet.codes.count(200) / len(fleet.codes)
+        assert not late, f"{len(late)} late requests"
+        assert served >= MIN_SERVED_FRACTION, f"{served:.3f} of {len(fleet.codes)} requests served"
+
+    run(test())
+
+
 async def stopped_before_an_answer(around: Surroundings) -> list[float]:
     """Discovery tells the drain while the proxy stands still and requests wait at it."""
     await around.discovery.next_call()
