Report how long the endpoint list is still valid and by which list each attempt is sent

Change: gauge endpoint_list.valid_ms and counter sends (list: current, stale, expired), which survive a cut log; the lines of an expiry and of a request by an old list name the reason for which servers are used; the line of a call to discovery tells the time since the call before.

Measured: 234 tests of balancing, operators, discovery and metrics pass; one that compares all counters now expects the new one as well, which is stricter.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -24,6 +24,7 @@
     Effect,
     Event,
     ListKind,
+    ListState,
     Log,
     Outcome,
     ProbeResult,
@@ -576,11 +577,18 @@
                 f"endpoint list {'expired' if expired else 'current again'}: "
                 f"age_s={now - freshness.current_as_of:.3f} failures={freshness.consecutive_failures} "
                 f"last_failure={freshness.last_failure.value!r} polled_s_ago={now - freshness.polled_at:.3f} "
-                f"verified_used={servers.uses_verified_servers} "
+                f"verified_used={servers.uses_verified_servers} reason={servers.usage_reason!r} "
                 f"oldest_verification_s={servers.oldest_verification(now):.3f} "
                 f"withheld={sum(s.withheld for s in servers.pool)} servers={len(servers.pool)}"
             )
 
+    @property
+    def list_state(self) -> ListState:
+        """State of the endpoint list at the latest batch."""
+        if self.servers.list_expired:
+            return ListState.EXPIRED
+        return ListState.STALE if self.freshness.is_going_stale(self.now) else ListState.CURRENT
+
     def log(self, text: str) -> None:
         """Append a Log action."""
         self.actions.append(Log(text))
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -258,6 +258,14 @@
     LIST_EXPIRED = "list_expired"  # the endpoint list may lack a drain that counts as known
 
 
+class ListState(Enum):
+    """How an endpoint list may be used."""
+
+    CURRENT = "current"
+    STALE = "stale"  # less than half of its validity is left
+    EXPIRED = "expired"  # it may lack a drain that counts as known
+
+
 class DiscoveryFailure(Enum):
     """How a call to discovery failed."""
 
--- a/gladegw/balancing/server_selection.py
+++ b/gladegw/balancing/server_selection.py
@@ -382,6 +382,17 @@
             return False
         return self.drains_revealed or self.trusts_probes
 
+    @property
+    def usage_reason(self) -> str:
+        """Why servers are used, for the log."""
+        if not self.list_expired:
+            return "the list is valid"
+        if not self.uses_verified_servers:
+            return "none: all are withheld"
+        if self.drains_revealed:
+            return "a draining server has failed a probe"
+        return "discovery rejects calls or the agent is silent"
+
     def verified_until(self, server: Server) -> float:
         """Return until when the server may be used by the latest probe that it answered."""
         return self.freshness.verified_until(server.healthy_at)
--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -234,6 +234,7 @@
         self.hold = min(HOLD_FRACTION * max_poll_gap, MAX_HOLD_S)  # hold time of a watch call, in seconds
         self.on_list, self.on_failed, self.on_call_end = on_list, on_failed, on_call_end
         self.has_stalled = has_stalled
+        self.last_call_at = self.previous_call_at = time.monotonic()  # begins of the latest two calls
         self.calls = 0  # number of calls made, which identifies the latest one in the log
         self.inventory = inventory or EndpointInventory()
         self.list_received = asyncio.Event()  # set once any list was received
@@ -324,6 +325,7 @@
     ) -> DiscoveryCall:
         """Create a call that begins now; `timeout` is in seconds, beyond the hold time."""
         self.calls += 1
+        self.previous_call_at, self.last_call_at = self.last_call_at, time.monotonic()
         return DiscoveryCall(target, timeout, self.moves, self.calls, hold, continues_watch)
 
     async def _send_watch_call(self, channel: _Channel) -> DiscoveryCall | None:
@@ -346,7 +348,10 @@
         """Send a call; None if that failed."""
         if not channel.up:
             log.info(
-                "discovery: sending a call on a new connection: target=%s call=%d", call.target, call.number
+                "discovery: sending a call on a new connection: target=%s call=%d since_previous_ms=%d",
+                call.target,
+                call.number,
+                1000 * (self.last_call_at - self.previous_call_at),
             )
         try:
             call.answer = await channel.send(self.address, call.target)
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -93,6 +93,7 @@
         self.on_empty: Callable[[], None] | None = None
         self.old_list_lines = LogRateLimit(MAX_OLD_LIST_LINES_PER_S)
         self.shared.events.list_ages[pool] = self.list_age
+        self.shared.events.list_validities[pool] = self.list_validity
         self.action_handlers: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
             api.Reject: self._reject,
@@ -222,6 +223,10 @@
         """Seconds since discovery last confirmed the endpoint list."""
         return time.monotonic() - self.balancer.freshness.current_as_of
 
+    def list_validity(self) -> float:
+        """Seconds until the endpoint list expires, 0 or less once it has."""
+        return self.balancer.freshness.expires_at - time.monotonic()
+
     def _on_list(self, listing: Listing) -> None:
         """Apply a list from discovery."""
         self.upstreams.apply(listing)
@@ -459,15 +464,20 @@
         """Count a further attempt, and log an attempt that relies on an old endpoint list."""
         if number:
             self.shared.events.on_retry(_status_name(call.last_status))
-        if self.balancer.freshness.is_going_stale(self.flushed_at) and self.old_list_lines.take():
+        list_state = self.balancer.list_state
+        self.shared.events.on_send(list_state.value)
+        if list_state is not api.ListState.CURRENT and self.old_list_lines.take():
             host, port = upstream.address
             log.info(
-                "request sent by an old endpoint list: id=%s attempt=%d server=%s:%d list_age_s=%.3f",
+                "request sent by an old endpoint list: id=%s attempt=%d server=%s:%d list_age_s=%.3f list=%s "
+                "reason=%r",
                 call.request.id.decode("latin-1"),
                 number,
                 host,
                 port,
                 self.list_age(),
+                list_state.value,
+                self.balancer.servers.usage_reason,
             )
 
     def _on_response_start(
--- a/gladegw/net/metrics.py
+++ b/gladegw/net/metrics.py
@@ -279,7 +279,7 @@
                 target.writer.put(batch)
 
     def _event_lines(self) -> list[bytes]:
-        """Return the counters of internal events and the gauges of the endpoint lists' ages."""
+        """Return the counters of internal events and the gauges of the endpoint lists."""
         encoder = self.format
         lines = [
             encoder.count(event.counter, count, encoder.tags(((event.tag, event.value),)))
@@ -288,6 +288,10 @@
         for pool, age in self.events.list_ages.items():
             tags = encoder.tags((("pool", pool),)) if pool else ""
             lines.append(encoder.gauge("endpoint_list.age_ms", round(1000 * age()), tags))
+        for pool, validity in self.events.list_validities.items():
+            tags = encoder.tags((("pool", pool),)) if pool else ""
+            # StatsD reads a signed gauge as a change of its value.
+            lines.append(encoder.gauge("endpoint_list.valid_ms", max(0, round(1000 * validity())), tags))
         return lines
 
     async def run(self) -> None:
--- a/gladegw/operators/event_counters.py
+++ b/gladegw/operators/event_counters.py
@@ -22,11 +22,17 @@
         self.counts: Counter[CountedEvent] = Counter()
         # By pool: seconds since discovery last confirmed the pool's endpoint list.
         self.list_ages: dict[str, Callable[[], float]] = {}
+        # By pool: seconds until the list expires, 0 or less once it has.
+        self.list_validities: dict[str, Callable[[], float]] = {}
 
     def on_discovery_call(self, result: str) -> None:
         """Count a call to discovery; `result` is `answered` or the kind of its failure."""
         self.counts[CountedEvent("discovery.calls", "result", result)] += 1
 
+    def on_send(self, list_state: str) -> None:
+        """Count an attempt by the state of the endpoint list that it relies on."""
+        self.counts[CountedEvent("sends", "list", list_state)] += 1
+
     def on_attempt_end(self, status: str) -> None:
         """Count an attempt that ended with `status`."""
         self.counts[CountedEvent("attempts", "status", status)] += 1
--- a/tests/net/test_metrics.py
+++ b/tests/net/test_metrics.py
@@ -199,7 +199,7 @@
             "class:other,tenant:other,code:400": 1,
         }
         by_request = {f"{n} {tags}": c for tags, c in expected.items() for n in ("requests", "answers")}
-        assert counts == {**by_request, "attempts status:ok": 1}
+        assert counts == {**by_request, "attempts status:ok": 1, "sends list:current": 1}
         assert gauges and set(gauges.values()) == {0}
 
     run(test())
--- a/tests/operators/test_event_counters.py
+++ b/tests/operators/test_event_counters.py
@@ -37,6 +37,22 @@
     assert set(lines[5:]) == {gauge}
 
 
+def test_the_time_left_to_a_list_and_the_attempts_by_its_state_are_reported(tmp_path: Path) -> None:
+    """Guards against a record that does not tell whether a request relied on an expired list (a22a10)."""
+    events = EventCounters()
+    events.on_send("expired")
+    remaining_s = [2.5, -1.0]
+    events.list_validities[""] = lambda: remaining_s.pop(0)
+    metrics = Metrics(MetricsSettings(sink="none", file=str(tmp_path / "figures")), settings(), events)
+    metrics.flush()
+    metrics.close(PATIENCE)
+    assert (tmp_path / "figures").read_text().splitlines() == [
+        "gladegw.sends:1|c|#list:expired",
+        "gladegw.endpoint_list.valid_ms:2500|g",
+        "gladegw.endpoint_list.valid_ms:0|g",
+    ]
+
+
 def test_a_rejection_says_why() -> None:
     driver = Driver(settings(), servers=entries(1))
     driver.feed(ServerList(ListKind.FULL, entries(1)))
