Reproduce late requests to draining servers that answer probes while calls to discovery fail

What plays share moves from test_expired_lists to support/drain_plays.py; servers may fail probes one by one.

--- a/gladegw/rig/nodes/many.py
+++ b/gladegw/rig/nodes/many.py
@@ -74,8 +74,7 @@
         self.owner.arrived.append(Arrived(time.monotonic(), self.server, probe))
         if self.transport is None:
             return
-        turns_away = not self.owner.healthy_draining if probe else self.owner.rejects
-        if turns_away and self.server in self.owner.draining:
+        if self.owner.turns_away(self.server, probe):
             marked = b"" if probe else b"X-Rejected: 1\r\n"
             self.transport.write(b"HTTP/1.1 503 X\r\n%bContent-Length: 0\r\n\r\n" % marked)
         elif probe:
@@ -98,6 +97,7 @@
         self.draining: set[int] = set()
         self.rejects = True  # whether those that drain turn calls away
         self.healthy_draining = False  # whether those that drain answer probes as before
+        self.unhealthy: set[int] = set()  # these fail probes while they drain, whatever the others do
         self.arrived: list[Arrived] = []
         self.port = 0
         self._listener: asyncio.Server | None = None
@@ -121,6 +121,14 @@
         if self._listener is not None:
             self._listener.close()
 
+    def turns_away(self, server: int, probe: bool) -> bool:
+        """Whether a server that drains turns a call or a probe away."""
+        if server not in self.draining:
+            return False
+        if not probe:
+            return self.rejects
+        return server in self.unhealthy or not self.healthy_draining
+
     def entry(self, server: int, status: str = "Ready") -> dict[str, Any]:
         """The server as a list of discovery names it."""
         return {
--- a/tests/net/test_expired_lists.py
+++ b/tests/net/test_expired_lists.py
@@ -9,37 +9,38 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
 import tempfile
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Any
 
 import pytest
+from support.drain_plays import (
+    CLIENTS,
+    CONTRACT,
+    DRAIN_GRACE_S,
+    KNOWN_WITHIN_S,
+    REQUEST_INTERVAL_S,
+    REQUEST_TIME_S,
+    SERVERS,
+    Surroundings,
+    surroundings,
+)
 from support.faulty_discovery import CallFault, FaultyDiscovery
-from support.loopback import SETTINGS, Caller, config, free_address, run, start_program, until_ready
-from support.proxies import Proxies, proxies
+from support.loopback import SETTINGS, config, free_address, run, start_program, until_ready
+from support.proxies import Proxies
 
 from gladegw.rig.nodes.many import ManyServers
 
-SERVERS = 4
-REQUEST_TIME_S = 0.02  # that a server takes for a request
-REQUEST_INTERVAL_S = 0.05  # between two requests of a client
-CLIENTS = 4
-KNOWN_WITHIN_S = 6.0  # after which a change counts as known
 KNOWN_AFTER_MOVE_S = 4.0  # the same, from SIGHUP
-DRAIN_GRACE_S = 0.55  # of a drain, including slack for the sockets
 WATCHED_S = 10.0  # from the drain to the end of the faults
 RECOVERED_WITHIN_S = 8.0  # from the end of the faults until requests are served again
 SEEN_DRAIN_S = 2.0  # from an earlier drain to the faults
 DRAIN_AFTER_MOVE_S = 2.0  # from SIGHUP to the drain
 WATCHED_AFTER_MOVE_S = 4.0  # from the time at which the drain's grace is over
 MIN_SERVED_FRACTION = 0.95  # of the requests, by a sound server
-BURST = 24  # requests that wait at a proxy that stands still
-CONTRACT = {**SETTINGS["contract"], "drain_grace": 0.5}
 
 
 @dataclass(frozen=True)
@@ -59,58 +60,6 @@
         return f"{kind}, {probed}, {len(self.drained)} drain, {'a' if self.seen else 'no'} drain seen before"
 
 
-@dataclass
-class Surroundings:
-    """A proxy with its servers, clients and discovery."""
-
-    servers: ManyServers
-    discovery: FaultyDiscovery
-    fleet: Proxies
-    drained: frozenset[int] = frozenset({0, 1, 2})
-
-    async def drain(self) -> float:
-        """Let servers drain; returns when."""
-        at = time.monotonic()
-        version = self.discovery.version + 1
-        await self.discovery.publish(self.servers.drain(set(self.drained), version))
-        return at
-
-    def late(self, since: float) -> list[float]:
-        """Seconds from `since` to each request that came to a draining server later."""
-        return [one.at - since for one in self.servers.calls_to(set(self.drained), since)]
-
-    def stop_proxy(self) -> None:
-        self.fleet.processes[0].send_signal(signal.SIGSTOP)
-
-    def continue_proxy(self) -> None:
-        self.fleet.processes[0].send_signal(signal.SIGCONT)
-
-    async def burst(self) -> list[asyncio.Task[Any]]:
-        """Write requests on new connections, which the proxy reads together once it goes on."""
-        callers = [Caller(*await asyncio.open_connection(*self.fleet.addresses[0])) for _ in range(BURST)]
-        tasks = []
-        for number, caller in enumerate(callers):
-            caller.send("stock", f"{number:016x}")
-            tasks.append(asyncio.create_task(caller.answer()))
-        return tasks
-
-
-@asynccontextmanager
-async def surroundings(probes: bool = True, healthy: bool = True) -> AsyncIterator[Surroundings]:
-    """Start a proxy with a settled watch; a draining server completes requests as before."""
-    servers, discovery = await ManyServers(SERVERS, REQUEST_TIME_S).start(), await FaultyDiscovery().start()
-    servers.rejects, servers.healthy_draining = False, healthy
-    limits = {**SETTINGS["policy_limits"], "probes": probes}
-    async with proxies(1, servers, discovery, contract=CONTRACT, policy_limits=limits) as fleet:
-        address = fleet.addresses[0]
-        clients = [asyncio.create_task(fleet.ask(address, REQUEST_INTERVAL_S)) for _ in range(CLIENTS)]
-        await asyncio.sleep(1.5)
-        yield Surroundings(servers, discovery, fleet)
-        for task in clients:
-            task.cancel()
-    servers.stop()
-
-
 async def play(case: Case) -> str:
     """Play a case; returns what was wrong, if anything."""
     async with surroundings(case.probes, case.healthy) as around:
@@ -291,8 +240,7 @@
 
 def change_discovery_address(around: Surroundings, discovery: FaultyDiscovery) -> float:
     """Give the proxy a new configuration with another address of discovery; returns when."""
-    path = around.fleet.configs[0]
-    path.write_text(json.dumps(json.loads(path.read_text()) | {"discovery": discovery.address}))
+    around.fleet.change_config(0, discovery=discovery.address)
     around.fleet.processes[0].send_signal(signal.SIGHUP)
     return time.monotonic()
 
--- a/tests/support/faulty_discovery.py
+++ b/tests/support/faulty_discovery.py
@@ -5,6 +5,9 @@
 import asyncio
 import contextlib
 import json
+import math
+import socket
+import struct
 import time
 from enum import Enum
 
@@ -13,6 +16,7 @@
 
 QUEUE_TIME_S = 0.86  # that a call waits until it is rejected, as in report 58289b
 BYTE_INTERVAL_S = 0.3  # between the bytes of an answer that comes byte by byte
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # option SO_LINGER: a close resets the connection
 LATE_ANSWER_S = 5.0  # that a call waits for its list, where lists are late
 
 
@@ -40,6 +44,8 @@
         self.written_at: list[float] = []  # when the answers with a change were written
         self.called_at = 0.0  # when the latest call was read
         self.rest_released: asyncio.Event | None = None  # the second half of such an answer waits for it
+        self.rejections_left = math.inf  # calls that REJECTED_AFTER_WAIT and REJECTED_AT_ONCE still reject
+        self.writers: set[asyncio.StreamWriter] = set()  # open connections
 
     def fail_calls(self, fault: CallFault) -> None:
         """Stall all open watches, and let each further call end with `fault`."""
@@ -53,6 +59,24 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def reject_calls(self, count: int) -> None:
+        """Stall all open watches and reject the next calls after a wait, as an overloaded discovery does."""
+        self.fail_calls(CallFault.REJECTED_AFTER_WAIT)
+        self.rejections_left = count
+
+    def die(self) -> None:
+        """End the process: open connections are reset and new ones refused."""
+        self.server.close()
+        for writer in list(self.writers):
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+
+    async def revive(self) -> None:
+        """Start the process again at the same address, with the list as it is by now."""
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
+
     async def next_call(self) -> None:
         """Wait until the next call was read; the watch then waits for its whole hold time."""
         before = self.called_at
@@ -60,6 +84,7 @@
             await asyncio.sleep(0.005)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             if self.fault is CallFault.NEVER_READ:
                 writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -68,6 +93,7 @@
                 line, _, _ = await read_message(reader)
                 if not await self._serve_call(line.split(" ")[1], reader, writer):
                     break
+        self.writers.discard(writer)
         writer.close()
 
     async def _serve_call(
@@ -82,7 +108,9 @@
         if fault is CallFault.SILENT:
             await reader.read()  # until the proxy gives up
             return False
-        if fault in (CallFault.REJECTED_AFTER_WAIT, CallFault.REJECTED_AT_ONCE):
+        rejects = fault in (CallFault.REJECTED_AFTER_WAIT, CallFault.REJECTED_AT_ONCE)
+        if rejects and self.rejections_left > 0:
+            self.rejections_left -= 1
             await asyncio.sleep(QUEUE_TIME_S if fault is CallFault.REJECTED_AFTER_WAIT else 0.0)
             writer.write(response(503))
             return True
--- a/tests/support/proxies.py
+++ b/tests/support/proxies.py
@@ -82,9 +82,31 @@
         self.processes, self.addresses = processes, addresses
         self.configs = configs  # the file that each proxy reads again on SIGHUP
         self.logs = logs  # the lines that each proxy has written to standard error
+        self.readers: list[asyncio.Task[None]] = []  # they read these lines
         self.codes: list[int] = []
         self.callers: list[tuple[str, int]] = []
 
+    async def start(self, config_path: Path) -> asyncio.subprocess.Process:
+        """Start a proxy with a configuration, beside which its settings file lies."""
+        raw, folder = json.loads(config_path.read_text()), config_path.parent
+        process = await start_program(raw, str(folder), "-f", str(folder / "malabar.hcl"))
+        self.logs.append([])
+        # A pipe that is not read to its end keeps `wait` from returning.
+        self.readers.append(asyncio.create_task(collect(process, self.logs[-1])))
+        return process
+
+    def change_config(self, number: int, **changes: object) -> None:
+        """Write a proxy's configuration anew with other top-level values."""
+        path = self.configs[number]
+        path.write_text(json.dumps(json.loads(path.read_text()) | changes))
+
+    async def restart(self, number: int) -> None:
+        """Kill a proxy, start it again and wait until it is ready."""
+        self.processes[number].kill()
+        await self.processes[number].wait()
+        self.processes[number] = await self.start(self.configs[number])
+        await until_ready(self.addresses[number])
+
     async def ask(self, address: tuple[str, int], every: float) -> None:
         client_number = len(self.callers)
         self.callers.append(address)
@@ -115,11 +137,7 @@
     """
     features = (ROOT / "deploy" / "malabar.hcl").read_text()
     endpoints = servers.listing(1)
-    processes: list[asyncio.subprocess.Process] = []
-    addresses: list[tuple[str, int]] = []
-    logs: list[list[bytes]] = []
-    configs: list[Path] = []
-    readers: list[asyncio.Task[None]] = []
+    fleet = Proxies([], [], [], [])
     with tempfile.TemporaryDirectory() as folder:
         try:
             for number in range(count):
@@ -128,24 +146,21 @@
                 directory = Path(folder) / str(number)
                 directory.mkdir()
                 (directory / "malabar.hcl").write_text(features)
-                configs.append(directory / "config.json")
-                processes.append(
-                    await start_program(raw, str(directory), "-f", str(directory / "malabar.hcl"))
-                )
-                logs.append([])
-                # A pipe that is not read to its end keeps `wait` from returning.
-                readers.append(asyncio.create_task(collect(processes[-1], logs[-1])))
+                path = directory / "config.json"
+                path.write_text(json.dumps(raw))
+                fleet.configs.append(path)
+                fleet.processes.append(await fleet.start(path))
                 host, _, port = listen.rpartition(":")
-                addresses.append((host, int(port)))
-            for address in addresses:
+                fleet.addresses.append((host, int(port)))
+            for address in fleet.addresses:
                 await until_ready(address)
             async with asyncio.timeout(PATIENCE):
                 while discovery.watches < count:
                     await asyncio.sleep(0.01)
-            yield Proxies(processes, addresses, logs, configs)
+            yield fleet
         finally:
-            for process in processes:
+            for process in fleet.processes:
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
                 await process.wait()
-            await asyncio.gather(*readers)
+            await asyncio.gather(*fleet.readers)
