Repeat rejected calls to discovery while the endpoint list can still be renewed

Cause: from the second rejection on the next call came 3.5 to 6.4 s after the last one began, later than a list is valid for.

Change: while the list is valid, a rejected call is repeated within a quarter of the time that is left to renew it, so that three and more calls fit. Once it has expired the pause is as before, since a crowded discovery spends time on rejected calls too.

--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -19,8 +19,12 @@
 RETRY_INTERVAL_S = 0.1  # after a failed poll; doubled at each consecutive failure
 MAX_RETRY_INTERVAL_S = 1.0  # two polls fit into CHANGE_KNOWN_AFTER_S even if one hangs
 MAX_DOUBLINGS = 8
-# Time from the start of a rejected call to the start of the next one. Discovery spends time on rejected calls
-# too, so immediate retries would keep it overloaded.
+# While the list is valid, a rejected call is repeated within this fraction of the time in which it can still
+# be renewed, so that several calls fit in.
+RENEWAL_FRACTION = 0.25
+POLL_TIME_S = 0.9  # reserved for a call that renews the list just in time
+# Time from the start of a rejected call to the start of the next one once the list has expired. Discovery
+# spends time on rejected calls too, so immediate retries would keep it overloaded.
 REJECTED_RETRY_RANGE_S = (3.5, 6.4)
 # After an immediate rejection, which costs discovery nothing; doubled at each consecutive failure.
 OVERLOADED_RETRY_S = 0.25
@@ -152,7 +156,10 @@
             return now + self._jittered(OVERLOADED_RETRY_S * 2**doublings, limit)
         retry_at = now + self._jittered(RETRY_INTERVAL_S * 2**doublings, MAX_RETRY_INTERVAL_S)
         if failure in LATE_REJECTIONS and self.shares_discovery and self.consecutive_failures > 1:
-            retry_at = max(retry_at, self.polled_at + self.random.uniform(*REJECTED_RETRY_RANGE_S))
+            latest = self.expires_at - POLL_TIME_S
+            if self.watch_is_confirmed and retry_at < latest:
+                return self.random.uniform(retry_at, retry_at + RENEWAL_FRACTION * (latest - retry_at))
+            return max(retry_at, self.polled_at + self.random.uniform(*REJECTED_RETRY_RANGE_S))
         return retry_at
 
     def _jittered(self, longest: float, limit: float) -> float:
--- a/tests/balancing/test_endpoint_freshness.py
+++ b/tests/balancing/test_endpoint_freshness.py
@@ -35,6 +35,7 @@
 CHANGE_KNOWN_AFTER_MOVE_S = 4.0  # the same, counted from a change of discovery's address
 MAX_POLL_GAP_S = 10.0  # of the settings
 MAX_OBSERVATION_GAP_S = 1.0  # between two signs of an outage
+REJECTED_AFTER_S = 0.86  # that a call waits until it is rejected, as in report a22a10
 STEP_S = 0.05  # control step of the Balancer
 SILENCE_RANGE_S = (1.2, 2.0)  # until a silent watch is closed; depends on how long it was open
 MAX_QUEUE_WAIT_S = 1.0  # in discovery's queue; a call that would wait longer is rejected immediately
@@ -440,3 +441,21 @@
     freshness.on_update(START_S + 1.0, by_discovery=True, as_of=START_S - 2.0)
     freshness.on_failure(START_S + 2.0, DiscoveryFailure.UNANSWERED)
     assert expires_after(freshness) > CHANGE_KNOWN_AFTER_S
+
+
+@given(st.integers(0, 2**16), st.floats(0.0, 2.0))
+def test_while_a_list_is_valid_a_rejected_call_is_repeated_in_time_to_renew_it(
+    seed: int, first_failure_after: float
+) -> None:
+    """Guards against a list that expires while no call is made (report a22a10: none for 5 s)."""
+    freshness = EndpointFreshness(Random(seed), True, DRAIN_GRACE_S, watch_is_confirmed=True)
+    freshness.on_update(START_S, by_discovery=True)
+    now = START_S + first_failure_after
+    freshness.on_failure(now, DiscoveryFailure.UNANSWERED)
+    polls = []
+    while freshness.next_poll_at < freshness.expires_at:
+        assert freshness.should_poll(freshness.next_poll_at)
+        polls.append(freshness.polled_at)
+        freshness.on_failure(freshness.polled_at + REJECTED_AFTER_S, DiscoveryFailure.REJECTED)
+    assert len(polls) >= 3
+    assert all(poll <= freshness.expires_at - REJECTED_AFTER_S for poll in polls)
--- a/tests/balancing/test_watch_pacing.py
+++ b/tests/balancing/test_watch_pacing.py
@@ -35,13 +35,15 @@
     MAX_POLL_GAP_S.
     """
 
-    def __init__(self, capacity: float, down_until: float) -> None:
-        self.answer_time = MAX_POLL_GAP_S / (capacity * PROXIES)
+    def __init__(self, capacity: float, down_until: float, proxies: int = PROXIES) -> None:
+        self.answer_time = MAX_POLL_GAP_S / (capacity * proxies)
         self.down_until = down_until
         self.busy_until = down_until
+        self.calls = 0
 
     def call(self, now: float) -> tuple[float, bool]:
         """Return when the call ends and whether it is answered."""
+        self.calls += 1
         if now < self.down_until:
             return now + MAX_QUEUE_WAIT_S, False
         answered_at = self.busy_until = max(self.busy_until, now) + self.answer_time
@@ -51,18 +53,27 @@
 
 
 def answer_times(capacity: float, outage: float) -> list[float]:
-    """Return the sorted seconds from discovery's recovery to the first answer, for each answered proxy.
+    """Return the sorted seconds from discovery's recovery to the first answer, for each answered proxy."""
+    return answers_and_calls(capacity, outage, PROXIES)[0]
 
-    All watches end when the outage begins.
-    """
+
+def answers_and_calls(capacity: float, outage: float, fleet: int) -> tuple[list[float], float]:
+    """Return these times and the calls per proxy. All watches end when the outage begins."""
     recovered_at = START_S + outage
-    discovery = OverloadedDiscovery(capacity, recovered_at)
+    discovery = OverloadedDiscovery(capacity, recovered_at, fleet)
     proxies = [
         Balancer(
-            settings(polls_endpoints=True, max_poll_gap=MAX_POLL_GAP_S, balancers=PROXIES, instance=n),
+            settings(
+                polls_endpoints=True,
+                max_poll_gap=MAX_POLL_GAP_S,
+                balancers=fleet,
+                instance=n,
+                watch_is_confirmed=True,
+                drain_grace=DRAIN_GRACE_S,
+            ),
             seed=n,
         )
-        for n in range(PROXIES)
+        for n in range(fleet)
     ]
     event_ids = count()
     events: list[tuple[float, int, int, Event]] = []
@@ -78,7 +89,7 @@
         proxy.handle(START_S - 1.0, [ServerList(ListKind.FULL)])
         schedule(START_S, number, ServerList(ListKind.FAILED, failure=DiscoveryFailure.REJECTED))
         schedule(START_S, number, Timer(TICK_TOKEN))
-    while events and len(answered) < PROXIES:
+    while events and len(answered) < fleet:
         now, _, number, event = heapq.heappop(events)
         if now > recovered_at + 60.0:
             break
@@ -91,7 +102,7 @@
                 ends_at, is_answered = discovery.call(now)
                 kind = ListKind.FULL if is_answered else ListKind.FAILED
                 schedule(ends_at, number, ServerList(kind, failure=DiscoveryFailure.REJECTED))
-    return sorted(answered.values())
+    return sorted(answered.values()), discovery.calls / fleet
 
 
 def test_all_proxies_are_answered_soon_after_an_outage() -> None:
@@ -102,6 +113,15 @@
         assert seconds[-1] < 2 * CHANGE_KNOWN_AFTER_S, capacity
 
 
+def test_calls_that_renew_a_list_in_time_do_not_overload_discovery() -> None:
+    """Each proxy repeats rejected calls within the validity of its list, and all are answered soon after."""
+    for fleet in (40, 200):
+        seconds, calls_per_proxy = answers_and_calls(1.5, OUTAGE_S, fleet)
+        assert len(seconds) == fleet
+        assert seconds[-1] < 2 * CHANGE_KNOWN_AFTER_S, fleet
+        assert calls_per_proxy < 6.0, fleet
+
+
 def test_a_single_proxy_retries_a_rejected_poll_early_enough() -> None:
     """A change during the outage counts as known 6 s after discovery is up; the drain grace comes on top."""
     driver = Driver(settings(polls_endpoints=True, max_poll_gap=MAX_POLL_GAP_S))
