Spread a fleet's first calls to a new address of discovery over time

All proxies call the new address at once, most calls wait too long and are rejected, and the list expires after 4.3 s.

Cause: no first call after a move was spread, and a rejected one costs discovery as much as an answered one.

Change: the first call comes after a random time of up to 0.1 s for each proxy of the tier, 3 s at most. What the old address still tells is applied meanwhile, as before.

Measured with the model of a discovery that needs 3.6 s for one call of each proxy: over 0.95 of 40, 200 and 800 proxies have the list within 4 s (test).

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -557,6 +557,10 @@
             f"servers={len(servers.pool)}"
         )
 
+    def discovery_move_delay(self) -> float:
+        """Return the seconds after which a new address of discovery is polled."""
+        return self.freshness.move_delay(self.settings.balancers)
+
     @property
     def list_state(self) -> ListState:
         """State of the endpoint list at the latest batch."""
--- a/gladegw/balancing/endpoint_freshness.py
+++ b/gladegw/balancing/endpoint_freshness.py
@@ -38,6 +38,10 @@
 FAILED_POLL_GAP_FACTOR = 4.0
 CHANGE_KNOWN_AFTER_S = 6.0  # a change counts as known this long after discovery had it
 CHANGE_KNOWN_AFTER_MOVE_S = 4.0  # the same, counted from a change of discovery's address
+# All instances poll a new address of discovery; their first calls are spread over a time that grows with the
+# fleet.
+MOVE_SPREAD_PER_INSTANCE_S = 0.1
+MAX_MOVE_SPREAD_S = 3.0  # leaves a second of CHANGE_KNOWN_AFTER_MOVE_S for the answer
 MAX_PROCESSING_DELAY_S = 0.2  # from the last look at the clock to the first byte sent
 MIN_VALIDITY_S = 0.05
 
@@ -106,6 +110,13 @@
         if by_discovery:
             self.observed_until = self.current_as_of
 
+    def move_delay(self, instances: int) -> float:
+        """Return a random number of seconds until a new address of discovery is polled.
+
+        `instances`: size of the fleet.
+        """
+        return self.random.random() * min(MAX_MOVE_SPREAD_S, MOVE_SPREAD_PER_INSTANCE_S * instances)
+
     def on_address_change(self, changed_at: float) -> None:
         """Record that discovery has a new address; updates from the old one no longer count."""
         self.address_changed_at = min(self.address_changed_at, changed_at)
--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -247,17 +247,19 @@
         self._previous_watches: list[asyncio.Task[None]] = []
         self._fetches: set[asyncio.Task[None]] = set()
 
-    def watch(self, on: bool) -> None:
-        """Start a new watch, or stop watching."""
+    def watch(self, on: bool, delay: float = 0.0) -> None:
+        """Start a new watch after `delay` seconds, or stop watching."""
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
         if on:
-            self._watch = asyncio.get_running_loop().create_task(self._watch_loop())
+            self._watch = asyncio.get_running_loop().create_task(self._watch_loop(delay))
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address, delay: float = 0.0) -> None:
         """Switch to another address, whose list versions may differ, and fetch a full snapshot there.
 
+        `delay`: seconds until the first call.
+
         Changes that the previous address is still sending are applied too, so its watch is read until the new
         address has answered.
         """
@@ -268,7 +270,7 @@
             self._watch = None
         self.address, self.version = address, None
         self.moves += 1
-        self.watch(True)
+        self.watch(True, delay)
 
     def fetch(self) -> None:
         """Fetch a full snapshot."""
@@ -282,8 +284,8 @@
             if task is not None:
                 task.cancel()
 
-    async def _watch_loop(self) -> None:
-        """Run one watch.
+    async def _watch_loop(self, delay: float) -> None:
+        """Run one watch, whose first call begins after `delay` seconds.
 
         For discovery a watch continues if its next call arrives within 0.2 s of a response; otherwise the
         call queues behind those of all other callers. Hence the next call is sent before the list is
@@ -293,6 +295,8 @@
         allowance = MAX_CALL_BURST
         moves = self.moves
         try:
+            if delay:
+                await asyncio.sleep(delay)
             call = await self._send_watch_call(channel)
             while call is not None:
                 body = await self._receive(channel, call)
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -18,7 +18,7 @@
 from gladegw.balancing import events as api
 from gladegw.balancing.balancer import Balancer
 from gladegw.net.capture import Capture
-from gladegw.net.config import Config, ConfigError
+from gladegw.net.config import Address, Config, ConfigError
 from gladegw.net.discovery import Discovery
 from gladegw.net.endpoint_lists import EndpointInventory, Listing
 from gladegw.net.hop_by_hop import HOP_BY_HOP
@@ -246,6 +246,10 @@
         """
         self._push(api.ServerList(api.ListKind.ADDRESS_CHANGED, as_of=as_of))
 
+    def move_discovery(self, address: Address) -> None:
+        """Poll discovery at a new address from now on."""
+        self.discovery.move(address, self.balancer.discovery_move_delay())
+
     def inherit_freshness(self, other: Driver) -> None:
         """Take over the age of the endpoint list from the previous driver."""
         self.balancer.freshness.inherit(other.balancer.freshness)
--- a/gladegw/net/routes.py
+++ b/gladegw/net/routes.py
@@ -17,7 +17,7 @@
 
 from gladegw.balancing import events as api
 from gladegw.net.capture import Capture
-from gladegw.net.config import Config, ConfigError
+from gladegw.net.config import Address, Config, ConfigError
 from gladegw.net.discovery import Discovery
 from gladegw.net.driver import Driver
 from gladegw.net.endpoint_lists import EndpointInventory, ListedBackend, Listing
@@ -418,6 +418,12 @@
         for served_pool in self._all_pools():
             served_pool.driver.on_discovery_address_change(as_of)
 
+    def move_discovery(self, address: Address) -> None:
+        """Poll discovery at a new address from now on."""
+        pools = self._all_pools()
+        delay = pools[0].driver.balancer.discovery_move_delay() if pools else 0.0
+        self.discovery.move(address, delay)
+
     def _all_pools(self) -> list[ServedPool]:
         """All pools of the current and the retained generations, and those being retired."""
         by_id = {
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -61,7 +61,7 @@
     try:
         for _ in range(MAX_REREADS):
             try:
-                driver.discovery.move(discovery_now(os.environ))
+                driver.move_discovery(discovery_now(os.environ))
                 break
             except ConfigError as fault:
                 log.error("%s", fault)
--- a/tests/balancing/test_watch_pacing.py
+++ b/tests/balancing/test_watch_pacing.py
@@ -12,11 +12,13 @@
 
 import heapq
 from itertools import count
+from random import Random
 
 from support.balancing import Driver, settings
 
 from gladegw import Balancer, DiscoveryFailure, ListKind, ServerList, SetTimer, Timer, Watch
 from gladegw.balancing.balancer import TICK_TOKEN
+from gladegw.balancing.endpoint_freshness import EndpointFreshness
 from gladegw.balancing.events import Event
 
 PROXIES = 120
@@ -25,6 +27,8 @@
 MAX_QUEUE_WAIT_S = 2.0  # in discovery's queue, until it rejects the call
 OUTAGE_S = 8.0
 CHANGE_KNOWN_AFTER_S = 6.0  # a change counts as known this long after discovery had it
+CHANGE_KNOWN_AFTER_MOVE_S = 4.0  # the same, counted from a change of discovery's address
+ALL_ANSWERED_IN_S = 3.6  # that discovery needs to answer one call of each proxy
 DRAIN_GRACE_S = 0.5
 
 
@@ -141,3 +145,20 @@
     for _ in range(50):
         driver.feed(ServerList(ListKind.FAILED, failure=DiscoveryFailure.REJECTED))
         assert Watch(True) in driver.wait(1.1)
+
+
+def test_first_calls_at_a_new_address_of_discovery_do_not_overload_it() -> None:
+    """Guards against a fleet of which most are rejected after SIGHUP, and refuse requests from 4 s on."""
+    for fleet in (40, 200, 800):
+        discovery = OverloadedDiscovery(MAX_POLL_GAP_S / ALL_ANSWERED_IN_S, 0.0, fleet)
+        delays = [EndpointFreshness(Random(n), True, DRAIN_GRACE_S).move_delay(fleet) for n in range(fleet)]
+        answers = [discovery.call(delay) for delay in sorted(delays)]
+        in_time = [
+            ended for ended, is_answered in answers if is_answered and ended < CHANGE_KNOWN_AFTER_MOVE_S
+        ]
+        assert len(in_time) > 0.95 * fleet
+
+
+def test_a_small_fleet_polls_a_new_address_of_discovery_soon() -> None:
+    delays = [EndpointFreshness(Random(n), True, DRAIN_GRACE_S).move_delay(3) for n in range(100)]
+    assert max(delays) < 0.5
