Let one first call serve all configurations that name the same new address of discovery

What callers saw: after two SIGHUPs within 0.1 s two full lists were fetched at the new address, the second on a new connection; test_sighup_switches_to_the_discovery_in_the_changed_config failed 3 of 3 since the first calls are spread.

Cause: a second move to the address whose first call had not begun yet started another watch beside it.

Change: such a move changes nothing.

--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -244,6 +244,7 @@
         # Number of address changes. A call begun before the latest one has no effect on later calls.
         self.moves = 0
         self._watch: asyncio.Task[None] | None = None
+        self._delayed_address: Address | None = None  # new address whose first call has not begun yet
         self._previous_watches: list[asyncio.Task[None]] = []
         self._fetches: set[asyncio.Task[None]] = set()
 
@@ -252,17 +253,20 @@
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
+        self._delayed_address = self.address if on and delay else None
         if on:
             self._watch = asyncio.get_running_loop().create_task(self._watch_loop(delay))
 
     def move(self, address: Address, delay: float = 0.0) -> None:
         """Switch to another address, whose list versions may differ, and fetch a full snapshot there.
 
-        `delay`: seconds until the first call.
+        `delay`: seconds until the first call, which serves for all configurations until then.
 
         Changes that the previous address is still sending are applied too, so its watch is read until the new
         address has answered.
         """
+        if address == self._delayed_address:
+            return
         for task in self._fetches:
             task.cancel()
         if self._watch is not None:
@@ -297,6 +301,7 @@
         try:
             if delay:
                 await asyncio.sleep(delay)
+                self._delayed_address = None
             call = await self._send_watch_call(channel)
             while call is not None:
                 body = await self._receive(channel, call)
