Evict clients that read slowly when descriptors run short, last and the slowest first

Cause: since a connection whose client still reads is never evicted, and a streamed response never was; a crowd of slow readers takes all descriptors, and with streamed responses all connections to backends.

Below 32 kB/s, half the rate of a slow legitimate client, its connection is evicted after all others, the slowest first; also where a request finds no connection to a backend, which waits meanwhile.

--- a/gladegw/limits/connection_eviction.py
+++ b/gladegw/limits/connection_eviction.py
@@ -15,6 +15,7 @@
 RECENT_BYTES_S = 0.5  # a request that received bytes within this time is in progress
 MIN_STALL_TIMEOUT_S = 0.3  # lower bound of that time in a connection flood
 SLOW_REQUEST_GRACE_S = 1.0  # a request in progress at the minimum rate is not evicted before this age
+MIN_READ_BYTES_PER_S = 32_000.0  # half the rate of a slow legitimate client
 CLOSE_GRACE_S = 0.1  # time for the peer to close its side before its connection may be evicted
 CLOSE_AFTER_RESPONSE_FRACTION = 0.8  # of the connection limit; above it, responses close their connection
 SERVED_FRACTION = 7 / 8  # of the connection limit; requests on the other connections are rejected at once
@@ -58,6 +59,10 @@
         """Whether the peer has acknowledged all written bytes and no received byte is unread."""
         ...
 
+    def read_rate(self, now: float) -> float:
+        """Bytes per second of responses that the peer takes; infinite if that is not known or no bound."""
+        ...
+
 
 ConnectionT = TypeVar("ConnectionT", bound=ClientConnectionState)
 
@@ -131,8 +136,12 @@
             return 2, score
         return (3, score) if age > SLOW_REQUEST_GRACE_S else None
     if stage is ConnectionStage.RECEIVING and is_lagging(connection.received, age, silence_timeout):
-        # last: only if nothing else can be evicted
+        # late: only if little else can be evicted
         return 4, connection.received - MIN_HEAD_BYTES_PER_S * age
+    if stage in (ConnectionStage.PENDING, ConnectionStage.DELIVERING):
+        # Last: a crowd of slow readers must not keep other clients out.
+        rate = connection.read_rate(now)
+        return (5, rate) if rate < MIN_READ_BYTES_PER_S else None
     return None
 
 
@@ -150,3 +159,11 @@
         if (cost := eviction_cost(connection, now, silence_timeout, stall_timeout)) is not None
     )
     return [connection for _, _, connection in heapq.nsmallest(count, ranked)]
+
+
+def slowest_reader(
+    streaming: Iterable[ConnectionT], now: float, min_rate: float = MIN_READ_BYTES_PER_S
+) -> ConnectionT | None:
+    """Return the connection whose client reads most slowly of those below `min_rate` bytes per second."""
+    slowest = min(streaming, key=lambda connection: connection.read_rate(now), default=None)
+    return slowest if slowest is not None and slowest.read_rate(now) < min_rate else None
--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from typing import TYPE_CHECKING, Any, cast
@@ -565,6 +566,12 @@
             return ConnectionStage.CLOSING
         return ConnectionStage.RECEIVING if self.receiving or not self.had_request else ConnectionStage.IDLE
 
+    def read_rate(self, now: float) -> float:
+        """Bytes per second of responses that the client takes; infinite while a request is pending."""
+        if self.queued or (self.current is not None and self.body_source is None):
+            return math.inf
+        return self.delivery.read_rate(now)
+
     @property
     def unread(self) -> bool:
         """Whether the kernel holds unread bytes, which may contain a request."""
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -11,8 +11,10 @@
 from gladegw.balancing.events import Effect
 from gladegw.limits.connection_eviction import (
     CLOSE_AFTER_RESPONSE_FRACTION,
+    MIN_READ_BYTES_PER_S,
     ConnectionStage,
     connections_to_evict,
+    slowest_reader,
 )
 from gladegw.net.acceptor import Acceptor
 from gladegw.net.downstream.connection import ClientConnection
@@ -124,15 +126,31 @@
     def _evict(self, count: int) -> None:
         """Abort up to `count` connections by the eviction policy, unless they hold unread bytes.
 
-        The client of a closing connection has received its response or stopped reading.
+        The client of a closing connection has received its response or stopped reading. One that reads slowly
+        may have sent more, which it may repeat.
         """
-        flood = self.acceptor.flood
+        flood, now = self.acceptor.flood, time.monotonic()
         for connection in connections_to_evict(
-            self.connections, time.monotonic(), count, flood.silence_timeout, flood.stall_timeout
+            self.connections, now, count, flood.silence_timeout, flood.stall_timeout
         ):
-            if connection.stage is ConnectionStage.CLOSING or not connection.unread:
+            reads_slowly = connection.read_rate(now) < MIN_READ_BYTES_PER_S
+            if connection.stage is ConnectionStage.CLOSING or reads_slowly or not connection.unread:
                 connection.abort_connection()
 
+    def evict_slow_reader(self) -> bool:
+        """Abort the connection of the client that reads a streamed response most slowly, if it is too slow.
+
+        Returns whether a connection to a backend is freed, or may soon be: a client's rate is not known at
+        first.
+        """
+        now = time.monotonic()
+        held_up = [each for each in self.connections if each.body_source and each.write_buffer_full]
+        connection = slowest_reader(held_up, now)
+        if connection is not None:
+            connection.abort_connection()
+            return True
+        return any(math.isinf(each.read_rate(now)) for each in held_up)
+
     def close_idle(self, unused_since: float = math.inf, partial: bool = False) -> None:
         """Close connections without a request that have been unchanged since `unused_since`.
 
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -176,6 +176,7 @@
         lambda: lifecycle.state is State.READY and can_serve(),
         driver.shared.scratch,
     )
+    driver.shared.upstreams.make_room = server.evict_slow_reader
     draining = Drain(server, lambda: len(driver.calls) if isinstance(driver, Driver) else driver.calls)
 
     def on_state_change(state: State) -> None:
--- a/gladegw/net/upstream/pool.py
+++ b/gladegw/net/upstream/pool.py
@@ -8,6 +8,7 @@
 import math
 import time
 from bisect import bisect_right
+from collections.abc import Callable
 from operator import attrgetter
 
 from gladegw.balancing.events import ServerState, Status
@@ -41,6 +42,7 @@
         errno.ENOMEM,
     )
 )
+ROOM_RETRY_S = 0.02  # until an exchange is tried again that waits for a connection to be freed
 CONNECT_RETRY_INTERVAL_S = 0.01  # between retries after a local fault, within the connect timeout
 
 
@@ -148,6 +150,8 @@
         self.max_idle_s = IDLE_FRACTION * conn_idle
         self.max_connections = max_connections
         self.open_connections = 0
+        # Frees a connection that a slowly read response holds; returns whether one is or may soon be free.
+        self.make_room: Callable[[], bool] = lambda: False
         self.scratch = memoryview(bytearray(MAX_BUFFERED_BYTES))  # read buffer that all connections share
         self.by_id: dict[int, Upstream] = {}
         self.upstreams_with_idle: set[Upstream] = set()  # usually few of the thousands of backends
@@ -217,12 +221,20 @@
                 self.loop.call_later(max(0.0, delay), self._start_after_delay, exchange, connection)
                 return
         if self.open >= self.max_connections and not self._close_longest_idle():
-            exchange.end(Status.NOT_SENT)  # the proxy's own connection limit: not the backend's fault
+            if self.make_room():
+                self.loop.call_later(ROOM_RETRY_S, self._start_unless_ended, exchange)
+            else:
+                exchange.end(Status.NOT_SENT)  # the proxy's own connection limit: not the backend's fault
         else:
             task = self.loop.create_task(self._connect(exchange, upstream))
             self._connects.add(task)
             task.add_done_callback(self._connects.discard)
 
+    def _start_unless_ended(self, exchange: Exchange) -> None:
+        """Start an exchange that waited for a connection, unless its time is over."""
+        if exchange.status is None:
+            self.start(exchange)
+
     def _start_after_delay(self, exchange: Exchange, connection: UpstreamConnection) -> None:
         """Start an exchange on a connection whose reuse delay is over, or on another if it was closed."""
         upstream = exchange.upstream
--- a/tests/limits/test_connection_limits.py
+++ b/tests/limits/test_connection_limits.py
@@ -43,6 +43,10 @@
     changed_at: float
     received: int = 0
     delivered: bool = False
+    rate: float = math.inf  # at which the peer reads
+
+    def read_rate(self, now: float) -> float:
+        return self.rate
 
 
 times = st.floats(0, 10)
@@ -89,6 +93,18 @@
     assert connections_to_evict([StubConnection(ConnectionStage.RECEIVING, 9.3, 9.8, 60), fresh], 10.0) == []
 
 
+def test_the_slowest_reader_is_evicted_last_and_one_at_the_rate_of_a_slow_client_never() -> None:
+    """Guards against a crowd of slow readers that takes all descriptors (report a22a10)."""
+    idle = StubConnection(ConnectionStage.IDLE, 9.0, 9.0)
+    lagging = StubConnection(ConnectionStage.RECEIVING, 9.5, 9.5)
+    slow, slower = (StubConnection(ConnectionStage.DELIVERING, 5.0, 5.0, rate=r) for r in (20e3, 2e3))
+    streamed = StubConnection(ConnectionStage.PENDING, 5.0, 5.0, rate=10e3)
+    legitimate = StubConnection(ConnectionStage.DELIVERING, 5.0, 5.0, rate=LEGITIMATE_BYTES_PER_S)
+    waiting = StubConnection(ConnectionStage.PENDING, 5.0, 5.0)
+    present = [legitimate, waiting, slow, streamed, slower, lagging, idle]
+    assert connections_to_evict(present, 10.0, 7) == [idle, lagging, slower, streamed, slow]
+
+
 def test_a_closing_connection_is_evicted_once_its_response_is_delivered() -> None:
     unacknowledged, acknowledged = (
         StubConnection(ConnectionStage.CLOSING, 9.0, 9.95, delivered=is_acknowledged)
