Hold the fields of an unfinished head as bytes and free closed connections at once

Cause: a field of three bytes is held as a tuple and two byte strings; and a connection and its parser refer to one another, so that a closed connection's fields stayed until the garbage collector ran, which it does after a million such objects. Evidence: 900 fields on each of 300 parsers take 33 MB in a process of their own, 105 MB in the proxy, where each client comes again every 2.5 s.

Change: fields are kept in one buffer until the head is complete (HeaderBuffer); a connection that has ended lets its parser go.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -16,6 +16,7 @@
 from gladegw.limits.request_timeouts import RequestDeadline
 from gladegw.limits.unfinished_element import ElementTooLongError, UnfinishedElement
 from gladegw.net.downstream.delivery import ResponseDelivery
+from gladegw.net.downstream.header_buffer import HeaderBuffer
 from gladegw.net.downstream.pending_response import PendingResponse, response_head
 from gladegw.net.interfaces import ClientIdentity, FlowControl, RequestInfo
 from gladegw.net.request import BadRequestError, Request, class_of, origin_form, read_head
@@ -50,7 +51,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser: Any = httptools.HttpRequestParser(self)
         self.target = b""
-        self.headers: list[tuple[bytes, bytes]] = []
+        self.header_buffer = HeaderBuffer()
         self.body = bytearray()
         self.head_size = self.body_size = 0
         self.unfinished_element = UnfinishedElement()
@@ -97,6 +98,10 @@
         call, self.call = self.call, None
         if call is not None:
             self.server.handler.on_disconnect(call)
+        # Ends the reference cycles, so that nothing waits for the garbage collector.
+        self.parser = self.incoming = None
+        self.header_buffer.clear()
+        self.body = bytearray()
 
     def pause_writing(self) -> None:
         """The write buffer is full: pause the response's source and reading."""
@@ -173,7 +178,12 @@
             self.abort_connection()
             return
         pending = PendingResponse(self._rejection(fault))
-        pending.info = self._request_info()
+        try:
+            fields = self._take_headers()
+        except BadRequestError:
+            fields = []
+        pending.info = self._request_info(fields)
+        self.body = bytearray()
         self.queued.append(pending)
         self.closing = True  # closing with unread bytes could destroy the response, so the rest is discarded
 
@@ -195,7 +205,8 @@
             self.request_started_at, self.received = self.changed_at, 0
         self.request_deadline.on_head_start(self.changed_at)
         self.target = b""
-        self.headers, self.body = [], bytearray()
+        self.header_buffer.clear()
+        self.body = bytearray()
         self.head_size = self.body_size = 0
 
     def on_url(self, part: bytes) -> None:
@@ -208,7 +219,9 @@
         self.unfinished_element.on_completed()
         self._count_head(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
         if self.incoming is None:  # ignore trailer fields
-            self.headers.append((name.lower(), value.strip(b" \t")))  # the parser keeps trailing whitespace
+            self.header_buffer.append(
+                name.lower(), value.strip(b" \t")
+            )  # the parser keeps trailing whitespace
 
     def _count_head(self, size: int) -> None:
         """Check the size of the head; raises BadRequestError."""
@@ -223,12 +236,13 @@
         """
         self.unfinished_element.on_completed()
         parser, now = self.parser, time.monotonic()
+        headers = self._take_headers()
         method = parser.get_method()
         pending = PendingResponse(None)
         pending.keep_alive = parser.should_keep_alive()
         pending.bodyless = method == b"HEAD"
         pending.http_1_0 = parser.get_http_version() == "1.0"
-        size = next((value for name, value in self.headers if name == b"content-length"), b"0")
+        size = next((value for name, value in headers if name == b"content-length"), b"0")
         length = int(size) if size.isdigit() else 0
         if length > MAX_BODY_BYTES:
             raise BadRequestError(413, "body too large")
@@ -240,7 +254,7 @@
                 pending.request = read_head(
                     method,
                     self.target,
-                    self.headers,
+                    headers,
                     now,
                     self.server.effects,
                     self.server.router,
@@ -253,13 +267,13 @@
                     raise  # the body is too large to receive only to reject it
                 pending.request = bad
             else:
-                chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
+                chunked = any(name == b"transfer-encoding" for name, _ in headers)
                 pending.request.length = None if chunked else length
         if pending.request is not None:
-            pending.info = self._request_info()
+            pending.info = self._request_info(headers)
         self.incoming = pending
         self.request_deadline.on_body_start(now)
-        expects_continue = any(n == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
+        expects_continue = any(n == b"expect" and v.lower() == b"100-continue" for n, v in headers)
         if (
             expects_continue
             and not pending.http_1_0
@@ -308,7 +322,6 @@
         self.receiving = False
         self.request_deadline.on_complete()
         self.had_request = True
-        self.headers = []
         if self.discarding:
             self.discarding = False
             self._close_gracefully()
@@ -344,11 +357,23 @@
         name = self.transport.get_extra_info("peername") if self.transport is not None else None
         return str(name[0]) if name else ""
 
-    def _request_info(self) -> RequestInfo | None:
-        """Attributes of the current request for observers; None if there are no observers."""
+    def _take_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the header fields received so far, which are not held any longer.
+
+        Raises BadRequestError.
+        """
+        try:
+            return self.header_buffer.fields()
+        except ValueError:
+            raise BadRequestError(400, "malformed HTTP") from None
+        finally:
+            self.header_buffer.clear()
+
+    def _request_info(self, fields: list[tuple[bytes, bytes]]) -> RequestInfo | None:
+        """Attributes of a request with these header fields for observers; None if there are no observers."""
         if not self.server.observers:
             return None
-        headers = dict(self.headers)
+        headers = dict(fields)
         return RequestInfo(
             id=headers.get(b"x-call-id", b"").decode("latin-1"),
             cls=class_of(self.target),
