Answer one message of a connection in a turn of the event loop

Cause: all messages of a read, a thousand in 64 kB, were parsed and answered in one turn of the loop, and the next read was as long.

Change: a connection answers one message in a turn; after a read with more than eight requests the next one has 4 kB.

--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -40,6 +40,8 @@
 MAX_UNREAD_S = 10.0  # limit of the time credited for bytes that waited unread; more is implausible
 LINGER_CHECK_INTERVAL_S = 0.01  # between checks whether the peer has closed
 OVERLOADED_CHECK_INTERVAL_S = 0.001  # the same while the server is overloaded
+MAX_REQUESTS_PER_READ = 8  # above it, the next read is limited to SHORT_READ_BYTES
+SHORT_READ_BYTES = 4096
 NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
 
 
@@ -74,6 +76,7 @@
         self.changed_at = accepted_at  # when bytes were last received or sent
         self.write_buffer_full = False  # the peer does not read fast enough
         self.reading_paused = False
+        self.reads_short = False  # the last read contained many requests
         self.delivery = ResponseDelivery(accepted_at)
 
     # transport callbacks
@@ -149,8 +152,11 @@
                 self.request_deadline.resume(time.monotonic())
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """The buffer that all connections share, parsed before another connection reads."""
-        return self.server.scratch
+        """The buffer that all connections share, parsed before another connection reads.
+
+        After a read with many requests, the next one is short, so that other connections get their turn.
+        """
+        return self.server.scratch[:SHORT_READ_BYTES] if self.reads_short else self.server.scratch
 
     def buffer_updated(self, size: int) -> None:
         """Parse received bytes."""
@@ -168,6 +174,7 @@
         if self.receiving and self.server.is_overloaded:
             # For the eviction policy, silence starts when the client's bytes arrive, not when they are read.
             self.changed_at -= self._waited_unread()
+        self.reads_short = len(self.queued) > MAX_REQUESTS_PER_READ
         self._answer_next()
 
     def _on_malformed(self, fault: Exception) -> None:
@@ -402,36 +409,51 @@
 
     # responses
     def _answer_next(self) -> None:
-        """Start the next queued request unless one is open."""
-        while self.queued and self.current is None and self.transport is not None:
+        """Start the next queued request unless one is open.
+
+        Only one in a turn of the event loop: the proxy may answer it by itself, and other connections have to
+        get their turn.
+        """
+        if self.queued and self.current is None and self.transport is not None:
             pending = self.current = self.queued.popleft()
-            request = pending.request
             if pending.info is not None:
                 for observer in self.server.observers:
                     observer.on_start(pending.info)
-            if self.peer is not None and self.peer.denied:
-                pending.close_after = True
-                self.answer(403, NO_HEADERS, b"this address is not admitted\n")
-            elif request is None:
-                ready = self.server.ready()
-                self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
-            elif isinstance(request, BadRequestError):
-                self.answer(request.code, request.headers, f"{request}\n".encode())
-            elif self.server.at_capacity:
-                # No backend has received the request, so the client may safely repeat it.
-                pending.close_after = self.rejected = True
-                self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
-            else:
-                try:
-                    call = self.server.handler.on_request(request, self)
-                except Exception:
-                    log.exception("the request handler failed; responding with 500")
-                    self.answer(500, NO_HEADERS, b"internal error\n")
-                    continue
-                if self.current is pending:
-                    self.call = call
+            if not self._answer_without_backend(pending):
+                self._handle_request(pending)
         self._update_reading()
 
+    def _answer_without_backend(self, pending: PendingResponse) -> bool:
+        """Answer a message that no backend gets; returns whether it is one."""
+        request = pending.request
+        if self.peer is not None and self.peer.denied:
+            pending.close_after = True
+            self.answer(403, NO_HEADERS, b"this address is not admitted\n")
+        elif request is None:
+            ready = self.server.ready()
+            self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
+        elif isinstance(request, BadRequestError):
+            self.answer(request.code, request.headers, f"{request}\n".encode())
+        elif self.server.at_capacity:
+            # No backend has received the request, so the client may safely repeat it.
+            pending.close_after = self.rejected = True
+            self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
+        else:
+            return False
+        return True
+
+    def _handle_request(self, pending: PendingResponse) -> None:
+        """Pass the open request to the handler."""
+        assert isinstance(pending.request, Request)
+        try:
+            call = self.server.handler.on_request(pending.request, self)
+        except Exception:
+            log.exception("the request handler failed; responding with 500")
+            self.answer(500, NO_HEADERS, b"internal error\n")
+            return
+        if self.current is pending:
+            self.call = call
+
     def _open_response(self) -> PendingResponse:
         """The open request; raises RuntimeError if there is none or its response has already started."""
         if self.current is None or self.body_source is not None:
