Do not run a request again whose client left while it may have run

Cause: the id of a request was forgotten with the end of its cancelled attempt, though that had been written to a server.

One that comes again in that time gets 409, which does not say that it never ran. A class that may be repeated is sent again as before. Ids are not shared with the other process of an upgrade.

--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -283,6 +283,9 @@
             # An earlier request with this identifier is in flight, and both could run.
             reply.answer(409, (), b"this X-Call-Id is in use\n")
             return None
+        if self._may_run_twice(request):
+            reply.answer(409, (), b"a request with this X-Call-Id may have run\n")
+            return None
         if self.settings.max_open_requests and len(self.calls) >= self.settings.max_open_requests:
             reply.answer(503, ((b"retry-after", b"1"),), b"too many calls\n")
             return None
@@ -324,6 +327,20 @@
         self._push(arrival)
         return call
 
+    def _may_run_twice(self, request: Request) -> bool:
+        """Whether the request may have run already, and its class may not simply be repeated.
+
+        An earlier request with its identifier was sent to a backend, and its client left.
+        """
+        if self.effects[request.cls] is api.Effect.IDEMPOTENT or not request.id:
+            return False
+        return self.shared.abandoned_ids.contains(request.id, time.monotonic())
+
+    def _remember_abandoned(self, request: Request) -> None:
+        """Remember a request that may have run and whose client has left."""
+        if request.id and self.effects[request.cls] is not api.Effect.IDEMPOTENT:
+            self.shared.abandoned_ids.add(request.id, time.monotonic())
+
     def _margin(self) -> float:
         """Seconds before the client's deadline by which the response is sent.
 
@@ -392,6 +409,8 @@
         self.ended[call.number] = call.attempts
         if call.exchange is None:
             self.ids.discard(call.request.id)
+            if code is None and call.ran:
+                self._remember_abandoned(call.request)
         if call.timer is not None:
             call.timer.cancel()
         if not self.calls and self.on_empty is not None:
@@ -514,12 +533,10 @@
             call.ran = True
         if not call.open:
             self.ids.discard(call.request.id)
+            if exchange.sent:
+                self._remember_abandoned(call.request)
         elif call.streaming:
-            self._remove(call, 200 if status is api.Status.OK else 502)
-            if status is api.Status.OK:
-                call.reply.finish()
-            else:
-                call.reply.abort()
+            self._end_stream(call, status)
         elif status is api.Status.OK:
             headers = [pair for pair in exchange.headers if pair[0] not in DROPPED_HEADERS]
             self._respond(call, 200, headers, exchange.body)
@@ -532,6 +549,14 @@
                         self.capture.on_load_report(server, value)
         self._push(api.Outcome(call.number, number, server, status, exchange.elapsed, not call.open, report))
 
+    def _end_stream(self, call: PendingRequest, status: api.Status) -> None:
+        """End a streamed response whose attempt has ended."""
+        self._remove(call, 200 if status is api.Status.OK else 502)
+        if status is api.Status.OK:
+            call.reply.finish()
+        else:
+            call.reply.abort()
+
     def _reject(self, action: api.Reject) -> None:
         """Answer a request that the balancer sheds."""
         call = self.calls.get(action.call)
--- a/gladegw/net/shared_resources.py
+++ b/gladegw/net/shared_resources.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from gladegw.balancing.events import Status
+from gladegw.limits.abandoned_ids import AbandonedIds
 from gladegw.limits.buffer_budget import chunk_bytes
 from gladegw.limits.descriptor_budget import split_descriptors
 from gladegw.net.config import Config
@@ -78,6 +79,7 @@
         self.scratch = memoryview(bytearray(chunk_bytes(config.memory, self.budget.clients)))
         self.upstreams.scratch = self.scratch
         self.ids: set[bytes] = set()  # identifiers of open requests and of attempts in flight
+        self.abandoned_ids = AbandonedIds()
         self.last_call_number = 0
 
     def listed(self) -> list[tuple[int, bool]]:
