Log refused calls to discovery once a second

What operators saw: while connections to discovery are refused it is called four to eight times a second, with three log lines each.

Cause: the fast retry of refused connections came without a limit on its lines.

Change: of calls that are refused one after another two lines a second are logged at most; the first and each other failure always are.

--- a/gladegw/net/discovery.py
+++ b/gladegw/net/discovery.py
@@ -14,6 +14,7 @@
 from gladegw.limits.unfinished_element import UnfinishedElement
 from gladegw.net.config import Address
 from gladegw.net.endpoint_lists import EndpointInventory, Listing, decode
+from gladegw.net.log_rate_limit import LogRateLimit
 from gladegw.net.upstream.exchange import ONE_LOOP_TURN_S
 
 log = logging.getLogger(__name__)
@@ -33,6 +34,7 @@
 MIN_CALL_SPACING_S = 0.05  # average between the calls of a watch, if discovery answers them immediately
 MAX_CALL_BURST = 4.0  # calls of a watch without spacing, since updates may follow one another closely
 MAX_EMPTY_UPDATE_BYTES = 100  # a larger response contains updates and is logged
+MAX_REFUSED_LINES_PER_S = 1  # log lines of calls whose connections are refused one after another
 LIST_PATH = "/v1/servers"
 MAX_HEAD_BYTES = 32 * 1024  # size limit of the header fields of one response
 MAX_LIST_BYTES = 8 << 20  # size limit of a response body
@@ -243,6 +245,9 @@
         self.address_changing = False
         # Number of address changes. A call begun before the latest one has no effect on later calls.
         self.moves = 0
+        # While connections are refused, discovery is called several times a second.
+        self._was_refused, self._logs_call = False, True
+        self._refused_lines = LogRateLimit(MAX_REFUSED_LINES_PER_S)
         self._watch: asyncio.Task[None] | None = None
         self._delayed_address: Address | None = None  # new address whose first call has not begun yet
         self._previous_watches: list[asyncio.Task[None]] = []
@@ -355,7 +360,8 @@
 
     async def _send(self, channel: _Channel, call: DiscoveryCall) -> DiscoveryCall | None:
         """Send a call; None if that failed."""
-        if not channel.up:
+        self._logs_call = not self._was_refused or self._refused_lines.take()
+        if not channel.up and self._logs_call:
             log.info(
                 "discovery: sending a call on a new connection: target=%s call=%d since_previous_ms=%d",
                 call.target,
@@ -402,6 +408,7 @@
         except ValueError as fault:
             self._report_failure(call, fault)
             return None
+        self._was_refused = False
         self.on_call_end("answered")
         if not call.continues_watch:
             log.info(
@@ -423,7 +430,10 @@
 
     def _report_failure(self, call: DiscoveryCall, fault: Exception) -> None:
         """Log, count and report a failed call."""
-        log.warning(
+        kind = self._failure_kind(call, fault)
+        was_refused, self._was_refused = self._was_refused, kind is DiscoveryFailure.CONNECTION_REFUSED
+        level = log.warning if self._logs_call or not (was_refused and self._was_refused) else log.debug
+        level(
             "discovery: call failed: target=%s call=%d after_ms=%d version=%s reason=%s",
             call.target,
             call.number,
@@ -431,11 +441,11 @@
             self.version,
             str(fault) or type(fault).__name__,
         )
-        self.on_call_end(self._failure_kind(call, fault).name.lower())
+        self.on_call_end(kind.name.lower())
         if call.moves == self.moves:
             if isinstance(fault, TimeoutError) and not call.continues_watch:
                 self.queued_call_timeout = LONG_ANSWER_TIMEOUT_S
-            self.on_failed(self._failure_kind(call, fault), call.begun_at)
+            self.on_failed(kind, call.begun_at)
 
     @staticmethod
     def _failure_kind(call: DiscoveryCall, fault: Exception) -> DiscoveryFailure:
--- a/tests/net/test_drain_states.py
+++ b/tests/net/test_drain_states.py
@@ -25,6 +25,7 @@
 WATCHED_S = 4.0  # from the time at which requests have to be served again
 VALID_S = 4.5  # for which a list is valid at least, from the begin of the state or from a restart
 MIN_SERVED_FRACTION = 0.95
+MAX_FAILURE_LINES_PER_S = 2
 
 
 class State(Enum):
@@ -130,6 +131,11 @@
             phases["between"] = (begun_at + VALID_S, served_from)
         codes = {phase: around.fleet.codes_between(*span) for phase, span in phases.items()}
         late = len(around.late(known_at + DRAIN_GRACE_S))
+        # Connections are refused several times a second, which is not logged each time.
+        failures = [line for lines in around.fleet.logs for line in lines if b"call failed" in line]
+        assert len(failures) < MAX_FAILURE_LINES_PER_S * (LASTS_S + play.state.value + WATCHED_S), failures[
+            :5
+        ]
     return Counts(play, late, {phase: (seen.count(200), len(seen)) for phase, seen in codes.items()})
 
 
