End the crowd of a test that Python's wait_for kept running

Cause: asyncio.wait_for of Python 3.11 loses a cancellation that comes as its future is done; the traceback stands in the sleep of a crowd's task that had been cancelled before.

Change: asyncio.timeout, which does not lose it.

--- a/tests/limits/test_many_short_fields.py
+++ b/tests/limits/test_many_short_fields.py
@@ -23,6 +23,7 @@
 MEMORY_MB = 80
 REQUEST_INTERVAL_S = 0.5  # of one client
 WATCHED_S = 6.0
+ANSWERED_WITHIN_S = 5.0
 GOOD_INTERVAL_S = 0.05
 MIN_SERVED_FRACTION = 0.95
 
@@ -42,7 +43,8 @@
             reader, writer = await asyncio.open_connection(*node.address)
             while not reader.at_eof():
                 writer.write(many_fields(3000, number) + b"\r\n")
-                await asyncio.wait_for(reader.read(4096), 5.0)
+                async with asyncio.timeout(ANSWERED_WITHIN_S):
+                    await reader.read(4096)
                 await asyncio.sleep(REQUEST_INTERVAL_S)
             writer.close()
         await asyncio.sleep(REQUEST_INTERVAL_S)
