Account for the memory held for each peer, and tell it in metrics and in a log line

Change: a memory account with a share for each connection of clients and servers (what is received, held, not yet sent, and the objects around it). Gauges gladegw.memory.resident_bytes, limit_bytes, capacity_bytes and held_bytes by kind; a line with the resident memory once ready to serve, and one with all of it at most once a second when less than a quarter of the room is left. Nothing is decided by it yet.

--- a/gladegw/limits/unfinished_element.py
+++ b/gladegw/limits/unfinished_element.py
@@ -29,6 +29,11 @@
         self._size = 0
         self._completed = False
 
+    @property
+    def size(self) -> int:
+        """Bytes parsed since an element was last completed, as far as they are counted."""
+        return self._size
+
     def on_completed(self) -> None:
         """Note that the parser has completed an element of the bytes that it is being given."""
         self._completed = True
--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -13,6 +13,7 @@
 
 from gladegw.limits.buffer_budget import HEADER_OVERHEAD_BYTES, MAX_BUFFERED_BYTES
 from gladegw.limits.connection_eviction import ConnectionStage
+from gladegw.limits.memory_account import Holding
 from gladegw.limits.request_timeouts import RequestDeadline
 from gladegw.limits.unfinished_element import ElementTooLongError, UnfinishedElement
 from gladegw.net.downstream.delivery import ResponseDelivery
@@ -42,6 +43,7 @@
 OVERLOADED_CHECK_INTERVAL_S = 0.001  # the same while the server is overloaded
 MAX_REQUESTS_PER_READ = 8  # above it, the next read is limited to SHORT_READ_BYTES
 SHORT_READ_BYTES = 4096
+CONNECTION_BYTES = 4096  # of memory for the objects of a connection
 NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
 
 
@@ -78,6 +80,7 @@
         self.reading_paused = False
         self.reads_short = False  # the last read contained many requests
         self.delivery = ResponseDelivery(accepted_at)
+        self.share = server.memory.open_share(CONNECTION_BYTES)
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -105,6 +108,20 @@
         self.parser = self.incoming = None
         self.header_buffer.clear()
         self.body = bytearray()
+        self.share.release()
+
+    def update_share(self) -> None:
+        """Account for the bytes that are held for this connection now."""
+        if self.transport is None:
+            return
+        size = len(self.target) + len(self.header_buffer) + self.unfinished_element.size + len(self.body)
+        if self.incoming is not None and self.incoming.upload is None:
+            size += self.incoming.held_bytes
+        self.share.set(Holding.INCOMPLETE_REQUESTS, size)
+        waiting = sum(pending.held_bytes for pending in self.queued)
+        current = self.current.held_bytes if self.current is not None else 0
+        self.share.set(Holding.REQUESTS, waiting + current)
+        self.share.set(Holding.UNSENT_TO_CLIENTS, self.delivery.unsent_bytes)
 
     def pause_writing(self) -> None:
         """The write buffer is full: pause the response's source and reading."""
@@ -176,6 +193,7 @@
             self.changed_at -= self._waited_unread()
         self.reads_short = len(self.queued) > MAX_REQUESTS_PER_READ
         self._answer_next()
+        self.update_share()
 
     def _on_malformed(self, fault: Exception) -> None:
         """Respond to input that cannot be parsed any further."""
@@ -246,6 +264,7 @@
         headers = self._take_headers()
         method = parser.get_method()
         pending = PendingResponse(None)
+        pending.head_bytes = self.head_size
         pending.keep_alive = parser.should_keep_alive()
         pending.bodyless = method == b"HEAD"
         pending.http_1_0 = parser.get_http_version() == "1.0"
@@ -493,12 +512,14 @@
         if self.write_buffer_full:
             source.pause()
         self._update_reading()
+        self.update_share()
 
     def send(self, chunk: bytes) -> None:
         """Send the next part of a streamed body."""
         if self.transport is not None and chunk:
             self.changed_at = time.monotonic()
             self.delivery.write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if self.chunked else chunk)
+            self.share.set(Holding.UNSENT_TO_CLIENTS, self.delivery.unsent_bytes)
 
     def finish(self) -> None:
         """End the streamed response."""
@@ -561,6 +582,7 @@
             self.server.loop.call_soon(self._answer_next)
         else:
             self._update_reading()
+        self.update_share()
 
     def _close_gracefully(self, read_out: bool = False) -> None:
         """Close the connection after its last response, which the peer must be able to read.
--- a/gladegw/net/downstream/header_buffer.py
+++ b/gladegw/net/downstream/header_buffer.py
@@ -14,6 +14,10 @@
         self._buffer = bytearray()
         self._count = 0
 
+    def __len__(self) -> int:
+        """Bytes held."""
+        return len(self._buffer)
+
     def append(self, name: bytes, value: bytes) -> None:
         """Add a field."""
         self._buffer += name + SEPARATOR + value + SEPARATOR
--- a/gladegw/net/downstream/pending_response.py
+++ b/gladegw/net/downstream/pending_response.py
@@ -11,6 +11,10 @@
     from gladegw.net.interfaces import RequestInfo
     from gladegw.net.upload import RequestBody
 
+# The objects of one request from its head to its end: here, in the driver, the decisions and the exchange.
+REQUEST_OBJECTS_BYTES = 3 * 1024
+HEAD_COPIES = 2  # of a request's head: one as received, one as it is sent to a backend
+
 REASONS = {
     200: b"OK",
     301: b"Moved Permanently",
@@ -37,7 +41,17 @@
     `request` is None for a readiness check, and an error if the message is answered without a backend.
     """
 
-    __slots__ = ("bodyless", "close_after", "http_1_0", "info", "keep_alive", "received", "request", "upload")
+    __slots__ = (
+        "bodyless",
+        "close_after",
+        "head_bytes",
+        "http_1_0",
+        "info",
+        "keep_alive",
+        "received",
+        "request",
+        "upload",
+    )
 
     def __init__(self, request: Request | BadRequestError | None) -> None:
         self.request = request
@@ -46,9 +60,20 @@
         self.close_after = False  # close after this response, if no further one is pending
         self.bodyless = False  # HEAD: the response has no body
         self.http_1_0 = False  # the request is HTTP/1.0
+        self.head_bytes = 0  # bytes of the request's head
         self.received = False  # the request was received completely, and counted
         self.info: RequestInfo | None = None  # for observers, if there are any
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that the request takes."""
+        size = REQUEST_OBJECTS_BYTES + HEAD_COPIES * self.head_bytes
+        if isinstance(self.request, Request):
+            size += len(self.request.body)
+        if self.upload is not None:
+            size += len(self.upload.buffer)
+        return size
+
 
 def response_head(
     pending: PendingResponse, code: int, headers: Iterable[tuple[bytes, bytes]], length: int | None
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import sys
 import time
 from collections.abc import Callable, Mapping
 
@@ -16,6 +17,7 @@
     connections_to_evict,
     slowest_reader,
 )
+from gladegw.limits.memory_account import MemoryAccount
 from gladegw.net.acceptor import Acceptor
 from gladegw.net.downstream.connection import ClientConnection
 from gladegw.net.interfaces import RequestHandler, RequestInfo
@@ -44,10 +46,12 @@
         counters: RequestCounters,
         ready: Callable[[], bool],
         scratch: memoryview,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.effects, self.handler, self.max_connections = effects, handler, max_connections
         self.counters, self.ready = counters, ready
+        self.memory = memory or MemoryAccount(sys.maxsize)
         self.scratch = scratch  # read buffer that all connections share
         self.connections: set[ClientConnection] = set()  # those whose descriptors are not closed yet
         # Connections that were overdue at the last check, but held unread bytes.
@@ -64,6 +68,7 @@
             self._evict,
         )
         self.discard_lines = LogRateLimit(MAX_DISCARD_LINES_PER_S)
+        self.on_sweep: Callable[[], None] = lambda: None  # called at each check
         self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def log_discarded_bytes(self, unsent_bytes: int, stage: ConnectionStage) -> None:
@@ -201,6 +206,9 @@
     def _sweep(self) -> None:
         """Close connections whose request is overdue, that are idle too long, or whose client has stalled."""
         now = time.monotonic()
+        for connection in self.connections:
+            connection.update_share()  # the kernel may have accepted bytes since
+        self.on_sweep()
         self._close_overdue(now)
         self._abort_stalled()
         self.close_idle(now - IDLE_TIMEOUT_S)
--- a/gladegw/net/metrics.py
+++ b/gladegw/net/metrics.py
@@ -285,6 +285,9 @@
             encoder.count(event.counter, count, encoder.tags(((event.tag, event.value),)))
             for event, count in self.events.take().items()
         ]
+        for name, kind, size in self.events.memory.gauges() if self.events.memory is not None else ():
+            tags = encoder.tags((("kind", kind),)) if kind else ""
+            lines.append(encoder.gauge(name, size, tags))
         for pool, age in self.events.list_ages.items():
             tags = encoder.tags((("pool", pool),)) if pool else ""
             lines.append(encoder.gauge("endpoint_list.age_ms", round(1000 * age()), tags))
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from gladegw.limits.descriptor_budget import FLEET_MEMBER_DESCRIPTORS
-from gladegw.net import discovery, listener, stall_monitor
+from gladegw.net import discovery, listener, memory_monitor, stall_monitor
 from gladegw.net import driver as driver_module
 from gladegw.net import features as settings_file
 from gladegw.net.access_log import AccessLog
@@ -28,8 +28,11 @@
 from gladegw.net.driver import Driver
 from gladegw.net.features import Features, RoutesSettings
 from gladegw.net.interfaces import RequestInfo
+from gladegw.net.memory_monitor import MemoryMonitor
 from gladegw.net.metrics import Metrics
+from gladegw.net.process_memory import resident_bytes
 from gladegw.net.request import Router
+from gladegw.net.shared_resources import SharedResources
 from gladegw.net.tls import TlsContext
 from gladegw.operators.commands import CommandHandler
 from gladegw.operators.lifecycle import Event, Lifecycle, State
@@ -123,6 +126,14 @@
     return RequestTiming(config.settings.classes)
 
 
+def watch_memory(config: Config, shared: SharedResources, server: DownstreamServer) -> MemoryMonitor:
+    """Report what is held for the peers."""
+    monitor = MemoryMonitor(shared.memory, config.memory)
+    shared.events.memory = monitor
+    server.on_sweep = lambda: monitor.check(len(server.connections), len(shared.upstreams.connections))
+    return monitor
+
+
 async def wait_for_first_list(driver: Driver | PoolRouter, term: asyncio.Event) -> None:
     """Wait until discovery and a backend have responded, while the process to be replaced still serves.
 
@@ -175,7 +186,9 @@
         counters,
         lambda: lifecycle.state is State.READY and can_serve(),
         driver.shared.scratch,
+        driver.shared.memory,
     )
+    memory = watch_memory(config, driver.shared, server)
     driver.shared.upstreams.make_room = server.evict_slow_reader
     draining = Drain(server, lambda: len(driver.calls) if isinstance(driver, Driver) else driver.calls)
 
@@ -229,6 +242,8 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)
+    memory.account.capacity = max(0, config.memory - resident_bytes())
+    memory.log_ready()
     lifecycle.on(Event.ABLE)
     await term.wait()
     lifecycle.on(Event.TERMINATE)
@@ -259,8 +274,8 @@
         if features:
             logs = BackgroundWriter(to_descriptor(sys.stderr.fileno()), MAX_LOG_BYTES, "log")
             logging.basicConfig(handlers=[LogHandler(logs)], format=log_format)
-            # Discovery calls, lists applied, servers withheld, stalls of this process.
-            for module in (discovery, driver_module, stall_monitor):
+            # Discovery calls, lists applied, servers withheld, memory, stalls of this process.
+            for module in (discovery, driver_module, memory_monitor, stall_monitor):
                 logging.getLogger(module.__name__).setLevel(logging.INFO)
         else:
             logging.basicConfig(stream=sys.stderr, format=log_format)
--- a/gladegw/net/shared_resources.py
+++ b/gladegw/net/shared_resources.py
@@ -11,6 +11,7 @@
 from gladegw.limits.abandoned_ids import AbandonedIds
 from gladegw.limits.buffer_budget import chunk_bytes
 from gladegw.limits.descriptor_budget import split_descriptors
+from gladegw.limits.memory_account import MemoryAccount
 from gladegw.net.config import Config
 from gladegw.net.interfaces import ResponseSink
 from gladegw.net.request import Request
@@ -78,6 +79,7 @@
         self.stalls = StallMonitor(asyncio.get_running_loop())
         self.scratch = memoryview(bytearray(chunk_bytes(config.memory, self.budget.clients)))
         self.upstreams.scratch = self.scratch
+        self.memory = self.upstreams.memory = MemoryAccount(config.memory)
         self.ids: set[bytes] = set()  # identifiers of open requests and of attempts in flight
         self.abandoned_ids = AbandonedIds()
         self.last_call_number = 0
--- a/gladegw/net/upstream/connections.py
+++ b/gladegw/net/upstream/connections.py
@@ -11,6 +11,7 @@
 
 from gladegw.balancing.events import Status
 from gladegw.limits.buffer_budget import HEADER_OVERHEAD_BYTES, MAX_BUFFERED_BYTES
+from gladegw.limits.memory_account import Holding
 from gladegw.limits.unfinished_element import UnfinishedElement
 from gladegw.net.sockets import has_unread, unacknowledged_bytes
 from gladegw.net.upstream.exchange import Exchange
@@ -24,6 +25,7 @@
 # A response of unknown length is buffered this long before it is streamed; until then the request can still
 # be retried.
 FLUSH_TIMEOUT_S = 0.05
+CONNECTION_BYTES = 4096  # of memory for the objects of a connection
 UNDECLARED_LENGTH = -1  # body length of a response without Content-Length
 
 
@@ -42,6 +44,7 @@
         "length",
         "parser",
         "response",
+        "share",
         "transport",
         "unfinished_element",
         "until_close",
@@ -65,18 +68,21 @@
         self.broken = False
         self.write_paused = False  # the write buffer is full
         self.idle_since = 0.0
+        self.share = upstream.owner.memory.open_share(0)
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection (called by the event loop)."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport is another class
         self.transport.set_write_buffer_limits(high=len(self.upstream.owner.scratch))
-        self.upstream.owner.open_connections += 1
+        self.upstream.owner.connections.add(self)
+        self.share.set(Holding.CONNECTIONS, CONNECTION_BYTES)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and end its exchange (called by the event loop)."""
         self.transport = None
         self.upstream.unregister(self)
+        self.share.release()
         self._cancel_flush()
         if self.exchange is not None:
             # The whole request may have been sent, so the backend may have run it: never resend it here.
@@ -84,6 +90,15 @@
             exchange.connection = None
             exchange.end(Status.RESET)
 
+    def update_share(self) -> None:
+        """Account for the bytes that are held for this connection now."""
+        if self.transport is None:
+            return
+        complete = len(self.response[2]) if self.response is not None else 0
+        received = len(self.body) + complete + self.head_size + self.unfinished_element.size
+        self.share.set(Holding.RESPONSES, received)
+        self.share.set(Holding.UNSENT_TO_SERVERS, self.transport.get_write_buffer_size())
+
     def eof_received(self) -> bool | None:
         """Complete a response whose end is the close of the connection (called by the event loop)."""
         if self.until_close and self.exchange is not None:
@@ -120,6 +135,7 @@
                 log.warning("backend %s: malformed response: %s", self.upstream.address, fault)
             self.broken = True
         self._deliver()
+        self.update_share()
 
     def _deliver(self) -> None:
         """Pass a complete response to its exchange; after any irregularity the connection is not reused."""
@@ -244,6 +260,7 @@
         else:
             exchange.upload.reader = self.send_body
             self.send_body()
+        self.update_share()
 
     def send_body(self) -> None:
         """Send buffered bytes of the request body until the write buffer is full."""
@@ -261,6 +278,7 @@
             if chunked:
                 self.transport.write(b"0\r\n\r\n")
             exchange.on_request_sent()
+        self.update_share()
 
     @property
     def reusable(self) -> bool:
--- a/gladegw/net/upstream/pool.py
+++ b/gladegw/net/upstream/pool.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import math
+import sys
 import time
 from bisect import bisect_right
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 
 from gladegw.balancing.events import ServerState, Status
 from gladegw.limits.buffer_budget import MAX_BUFFERED_BYTES
+from gladegw.limits.memory_account import MemoryAccount
 from gladegw.net.config import Address
 from gladegw.net.endpoint_lists import ListedBackend, Listing
 from gladegw.net.upstream.connections import UpstreamConnection
@@ -128,7 +130,7 @@
         """Unregister a lost connection."""
         self.remove_idle(connection)
         self.connections.discard(connection)
-        self.owner.open_connections -= 1
+        self.owner.connections.discard(connection)
 
     def close_idle(self, unused_since: float = float("inf")) -> None:
         """Close connections that have been idle since `unused_since`, in seconds of the monotonic clock."""
@@ -149,10 +151,11 @@
         self.connect_timeout = connect_timeout
         self.max_idle_s = IDLE_FRACTION * conn_idle
         self.max_connections = max_connections
-        self.open_connections = 0
         # Frees a connection that a slowly read response holds; returns whether one is or may soon be free.
         self.make_room: Callable[[], bool] = lambda: False
         self.scratch = memoryview(bytearray(MAX_BUFFERED_BYTES))  # read buffer that all connections share
+        self.memory = MemoryAccount(sys.maxsize)
+        self.connections: set[UpstreamConnection] = set()  # those that are open
         self.by_id: dict[int, Upstream] = {}
         self.upstreams_with_idle: set[Upstream] = set()  # usually few of the thousands of backends
         self._connects: set[asyncio.Task[None]] = set()
@@ -161,7 +164,7 @@
     @property
     def open(self) -> int:
         """The number of descriptors in use by connections or connects in progress."""
-        return self.open_connections + len(self._connects)
+        return len(self.connections) + len(self._connects)
 
     @property
     def any_received(self) -> bool:
@@ -303,6 +306,8 @@
 
     def _sweep(self) -> None:
         """Close connections that have been idle too long."""
+        for connection in self.connections:
+            connection.update_share()  # the kernel may have accepted bytes since
         oldest = time.monotonic() - self.max_idle_s
         for upstream in list(self.upstreams_with_idle):
             upstream.close_idle(oldest)
--- a/gladegw/operators/event_counters.py
+++ b/gladegw/operators/event_counters.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable
+from typing import NamedTuple, Protocol
 
 
 class CountedEvent(NamedTuple):
@@ -15,6 +15,14 @@
     value: str
 
 
+class MemoryReport(Protocol):
+    """What a process tells of its memory."""
+
+    def gauges(self) -> Iterable[tuple[str, str, int]]:
+        """Name, value of the tag `kind` (empty: no tag) and bytes of each gauge."""
+        ...
+
+
 class EventCounters:
     """The events counted since the last report, and the current age of each pool's endpoint list."""
 
@@ -24,6 +32,7 @@
         self.list_ages: dict[str, Callable[[], float]] = {}
         # By pool: seconds until the list expires, 0 or less once it has.
         self.list_validities: dict[str, Callable[[], float]] = {}
+        self.memory: MemoryReport | None = None
 
     def on_discovery_call(self, result: str) -> None:
         """Count a call to discovery; `result` is `answered` or the kind of its failure."""
--- a/tests/net/test_metrics.py
+++ b/tests/net/test_metrics.py
@@ -315,3 +315,25 @@
             assert await node.process.stderr.read() == b""
 
     run(test())
+
+
+def test_the_memory_of_the_process_and_what_it_holds_are_told() -> None:
+    """Guards against a process killed for memory whose log tells nothing of it (report 9346bc)."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}, features="figures { flush_ms = 50 }\n", memory_mb=64) as node:
+            caller = await node.caller()
+            caller.writer.write(b"POST /canje HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1\r\nX-Budget: 4000m\r\n")
+            caller.writer.write(b"Content-Length: 60000\r\n\r\n" + b"y" * 50_000)
+            await node.line("memory: ready to serve", f"limit_bytes={64 << 20}")
+            held = 0
+            while held < 50_000:
+                line = await node.line("gladegw.memory.held_bytes", "kind:incomplete_requests")
+                held = int(line.split("|")[0].rpartition(":")[2])
+            assert held < 100_000
+            resident = int(
+                (await node.line("gladegw.memory.resident_bytes")).split("|")[0].rpartition(":")[2]
+            )
+            assert abs(resident - node.memory_bytes()) < 2_000_000
+
+    run(test())
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -55,9 +55,10 @@
 
 def get_head(target: bytes = b"/stock", fields: bytes = b"") -> bytes:
     """A whole request without a body."""
-    return (
-        b"GET %b HTTP/1.1\r\nHost: x\r\nX-Call-Id: c%015x\r\nX-Budget: 1000m\r\n%b\r\n"
-        % (target, next(ids), fields)
+    return b"GET %b HTTP/1.1\r\nHost: x\r\nX-Call-Id: c%015x\r\nX-Budget: 1000m\r\n%b\r\n" % (
+        target,
+        next(ids),
+        fields,
     )
 
 
@@ -67,9 +68,11 @@
     number = next(ids)
     if target.startswith(b"/reserva"):
         fields += b"Idempotency-Key: k%031x\r\n" % number
-    return (
-        b"POST %b HTTP/1.1\r\nHost: x\r\nX-Call-Id: c%015x\r\nX-Budget: 4000m\r\n%b\r\n%b\r\n"
-        % (target, number, framing, fields)
+    return b"POST %b HTTP/1.1\r\nHost: x\r\nX-Call-Id: c%015x\r\nX-Budget: 4000m\r\n%b\r\n%b\r\n" % (
+        target,
+        number,
+        framing,
+        fields,
     )
 
 
@@ -232,7 +235,9 @@
     """Play `count` clients until standard input ends."""
     loop = asyncio.get_running_loop()
     forms = list(FORMS.values()) if form == MIXED else [FORMS[form]]
-    clients = [loop.create_task(behave(address, number, forms[number % len(forms)])) for number in range(count)]
+    clients = [
+        loop.create_task(behave(address, number, forms[number % len(forms)])) for number in range(count)
+    ]
     await loop.run_in_executor(None, sys.stdin.read)
     for client in clients:
         client.cancel()
--- a/tests/support/crowd_plays.py
+++ b/tests/support/crowd_plays.py
@@ -88,7 +88,9 @@
         return self.outcomes["200"] / max(1, self.outcomes.total())
 
     def __str__(self) -> str:
-        return f"{self.fraction:.2f} of {self.outcomes.total()} served, {self.late} late {dict(self.outcomes)}"
+        return (
+            f"{self.fraction:.2f} of {self.outcomes.total()} served, {self.late} late {dict(self.outcomes)}"
+        )
 
 
 class GoodClients:
