--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -222,12 +222,11 @@
     """Behave as a client of a form for ever."""
     loop = asyncio.get_running_loop()
     while True:
-        with contextlib.closing(socket.socket()) as connection:
-            with contextlib.suppress(OSError, TimeoutError):
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-                connection.setblocking(False)
-                await loop.sock_connect(connection, address)
-                await form(Client(connection, number))
+        with contextlib.suppress(OSError, TimeoutError), contextlib.closing(socket.socket()) as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            connection.setblocking(False)
+            await loop.sock_connect(connection, address)
+            await form(Client(connection, number))
         await asyncio.sleep(RECONNECT_AFTER_S)
 
 
--- a/tests/support/crowd_plays.py
+++ b/tests/support/crowd_plays.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from support.loopback import ROOT, Backend, Proxy, proxy
 
@@ -50,7 +51,7 @@
 
 
 @contextlib.asynccontextmanager
-async def crowd_proxy(memory_mb: int, sockets: int, **changes: object) -> AsyncIterator[Proxy]:
+async def crowd_proxy(memory_mb: int, sockets: int, **changes: Any) -> AsyncIterator[Proxy]:
     """Run a proxy with the deployment's features, in front of servers in a process of their own."""
     async with helper("support.crowd_servers", str(SERVERS)) as servers:
         assert servers.stdout is not None
--- a/tests/support/crowd_servers.py
+++ b/tests/support/crowd_servers.py
@@ -1,4 +1,4 @@
-"""Servers for tests with crowds of clients, in a process of their own: `python -m support.crowd_servers COUNT`.
+"""Servers for tests with crowds of clients: `python -m support.crowd_servers COUNT`.
 
 Prints the address of each server on one line, and serves until standard input ends. The query of a request's
 target tells what is answered: `size` bytes after `ms` milliseconds. Bodies are received and discarded.
