--- a/tests/support/crowd_plays.py
+++ b/tests/support/crowd_plays.py
@@ -12,11 +12,11 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
-from support.loopback import ROOT, Backend, Proxy, proxy
+from support.loopback import ROOT, Backend, Proxy, free_address, proxy
 
 SERVERS = 4
+CROWD_STARTS_S = 0.5  # until the clients of a crowd connect
 GOOD_CLIENTS = 4  # each sends a request, waits and sends the next one
 REQUESTS_PER_S = 20.0  # of all good clients
 BUDGET_S = 1.2
@@ -44,28 +44,45 @@
 
 
 @contextlib.asynccontextmanager
-async def crowd(node: Proxy, form: str, count: int) -> AsyncIterator[None]:
-    """Run a crowd of `count` clients of a form."""
-    async with helper("support.crowd", "{}:{}".format(*node.address), form, str(count)):
+async def crowd(address: str, form: str, count: int) -> AsyncIterator[None]:
+    """Run a crowd of `count` clients of a form at an address, where no process need listen yet."""
+    async with helper("support.crowd", address, form, str(count)):
         yield
 
 
 @contextlib.asynccontextmanager
-async def crowd_proxy(memory_mb: int, sockets: int, **changes: Any) -> AsyncIterator[Proxy]:
-    """Run a proxy with the deployment's features, in front of servers in a process of their own."""
-    async with helper("support.crowd_servers", str(SERVERS)) as servers:
+async def crowd_proxy(
+    memory_mb: int, sockets: int, listen: str = "", crowd_before: tuple[str, int] | None = None
+) -> AsyncIterator[Proxy]:
+    """Run a proxy with the deployment's features, in front of servers in a process of their own.
+
+    `listen` is the address of a proxy that it replaces; `crowd_before` is the form and the size of a crowd
+    that is there before the proxy starts.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        servers = await stack.enter_async_context(helper("support.crowd_servers", str(SERVERS)))
+        listen_at = listen
+        if crowd_before is not None:
+            listen_at = free_address()
+            await stack.enter_async_context(crowd(listen_at, *crowd_before))
+            await asyncio.sleep(CROWD_STARTS_S)
         assert servers.stdout is not None
         backends = {}
         for number, address in enumerate((await servers.stdout.readline()).decode().split()):
             backends[f"s-{number}"] = Backend()
             backends[f"s-{number}"].address = address
-        features = DEPLOYED_FEATURES
         async with proxy(
-            backends, features=features, memory_mb=memory_mb, sockets=sockets, **changes
+            backends,
+            features=DEPLOYED_FEATURES,
+            listen=listen_at,
+            is_replacement=bool(listen),
+            memory_mb=memory_mb,
+            sockets=sockets,
         ) as node:
             reading = asyncio.create_task(read_log(node))
             yield node
-            node.process.kill()
+            if node.process.returncode is None:
+                node.process.kill()
             await reading
 
 
@@ -154,6 +171,20 @@
         return (reader, writer), text.split(" ")[1]
 
 
+def joint_memory_bytes(*nodes: Proxy) -> int:
+    """The resident memory of processes of one program, whose files count once; ended ones count nothing."""
+    own_bytes, file_bytes = 0, 0
+    for node in nodes:
+        with contextlib.suppress(OSError):
+            text = Path(f"/proc/{node.process.pid}/status").read_text()
+            sizes = {
+                name: 1024 * int(size) for name, size in re.findall(r"^Rss(\w+):\s+(\d+) kB", text, re.M)
+            }
+            own_bytes += sizes.get("Anon", 0) + sizes.get("Shmem", 0)
+            file_bytes = max(file_bytes, sizes.get("File", 0))
+    return own_bytes + file_bytes
+
+
 def reset_peak(node: Proxy) -> None:
     """Let the peak of the resident memory count from now on (proc(5), `clear_refs`)."""
     Path(f"/proc/{node.process.pid}/clear_refs").write_text("5")
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -383,19 +383,21 @@
     listen: str = "",
     name: str = "n0",
     program: tuple[str, ...] = ("gladegw",),
+    is_replacement: bool | None = None,
     **changes: Any,
 ) -> AsyncIterator[Proxy]:
     """Run a proxy in front of these backends, and kill it at the end if it still runs.
 
     `features` is the text of its settings file, `greeting` the bytes that start each connection to it. With
-    `listen` it is a further process on an address that another proxy already uses.
+    `listen` it is a further process on an address that another proxy already uses, unless `is_replacement` is
+    false.
     """
     discovery_server = discovery or await Discovery().start()
     for backend in backends.values():
         if not backend.address:
             await backend.start()
     known = listing(1, *(endpoint(name, backend.address) for name, backend in backends.items()))
-    shares_address = bool(listen)
+    shares_address = bool(listen) if is_replacement is None else is_replacement
     listen, admin = listen or free_address(), free_address()
     host, _, port = listen.rpartition(":")
     with tempfile.TemporaryDirectory() as folder:
