Do not load TLS and ctypes where the settings do not ask for TLS

Cause: 30.9 of 32 MB were taken before the first client; asyncio, uvloop and hashlib load OpenSSL (4.6 MB) in any case.

Change: the settings file is read before asyncio is imported; without a block that may need TLS a placeholder stands for the module ssl, and hashlib uses its own implementations. TlsSettings moves to a module without TLS; the listener fills its filter without ctypes.

--- a/gladegw/__main__.py
+++ b/gladegw/__main__.py
@@ -29,6 +29,25 @@
     return (file, words) if is_parsed_here else None
 
 
+def serve(file: str | None) -> int:
+    """Serve, without the libraries that the features of the settings file do not need."""
+    from gladegw.net import lean_start
+
+    lean_start.omit_openssl_from_hashlib()
+    from gladegw.net import hcl
+    from gladegw.net.config import ConfigError
+
+    try:
+        blocks = hcl.read(file) if file is not None else {}
+    except ConfigError as error:
+        print(f"gladegw: {error}", file=sys.stderr)
+        return 2
+    lean_start.omit_tls(frozenset(blocks))
+    from gladegw.net.serve import run
+
+    return run(file, blocks)
+
+
 def replay_file(file: str | None, path: str) -> int:
     from gladegw.net import features
     from gladegw.net.config import ConfigError
@@ -61,9 +80,7 @@
     file, words = command
     if words[:1] == ["replay"]:
         return replay_file(file, words[1])
-    from gladegw.net.serve import run
-
-    return run(file)
+    return serve(file)
 
 
 if __name__ == "__main__":
--- a/gladegw/net/acceptor.py
+++ b/gladegw/net/acceptor.py
@@ -21,7 +21,6 @@
     format_address,
 )
 from gladegw.net.sockets import OUT_OF_RESOURCES
-from gladegw.net.tls import reason
 
 log = logging.getLogger(__name__)
 
@@ -208,7 +207,9 @@
                 log.warning("connection closed: client=%s reason=%s", client, fault)
         except OSError as fault:
             if socket_handed_over and certificates is not None:
-                log.warning("tls: handshake refused: client=%s reason=%s", client, reason(fault))
+                log.warning(
+                    "tls: handshake refused: client=%s reason=%s", client, certificates.describe_fault(fault)
+                )
             elif isinstance(fault, TimeoutError):
                 log.warning("connection closed: client=%s reason=timed out before identification", client)
         except Exception:
--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -27,7 +27,6 @@
     reset_on_close,
     time_since_data,
 )
-from gladegw.net.tls import subject
 from gladegw.net.upload import RequestBody
 
 if TYPE_CHECKING:
@@ -89,6 +88,8 @@
         self.transport.set_write_buffer_limits(high=len(self.server.scratch))
         self.delivery.transport = self.transport
         if self.peer is not None and transport.get_extra_info("ssl_object") is not None:
+            from gladegw.net.tls import subject
+
             self.peer.subject = subject(transport.get_extra_info("peercert"))
         self.server.connections.add(self)
 
--- a/gladegw/net/features.py
+++ b/gladegw/net/features.py
@@ -11,7 +11,7 @@
 from gladegw.net.capture import CaptureSettings
 from gladegw.net.config import ConfigError, address
 from gladegw.net.metrics import MetricsSettings
-from gladegw.net.tls import TlsSettings
+from gladegw.net.tls_settings import TlsSettings
 
 TEMPLATE_MARKERS = ("${", "%{")  # HCL templates are not evaluated, so values that contain them are rejected
 
@@ -175,12 +175,13 @@
         raise ValueError(f"{name}: {fault}") from None
 
 
-def read(path: str) -> Features:
-    """Read the settings file.
+def read(path: str, blocks: hcl.Blocks | None = None) -> Features:
+    """Read the settings file, or use its `blocks` if they have been read already.
 
     Raises ConfigError with a message of one line.
     """
     try:
-        return Features(**{name: _read_block(name, raw) for name, raw in hcl.read(path).items()})
+        found = hcl.read(path) if blocks is None else blocks
+        return Features(**{name: _read_block(name, raw) for name, raw in found.items()})
     except ValueError as fault:
         raise ConfigError(" ".join(f"bad settings: {path}: {fault}".split())) from None
--- a/gladegw/net/interfaces.py
+++ b/gladegw/net/interfaces.py
@@ -4,12 +4,14 @@
 
 import json
 import socket
-import ssl
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from gladegw.net.request import Request
 
+if TYPE_CHECKING:
+    import ssl
+
 
 @dataclass(slots=True)
 class ClientIdentity:
@@ -86,6 +88,10 @@
 
     context: ssl.SSLContext
 
+    def describe_fault(self, error: BaseException) -> str:
+        """Describe in one line why a handshake failed."""
+        ...
+
 
 class ConnectionRejectedError(Exception):
     """A connection is closed before HTTP; the message gives the reason and may be empty."""
--- a/gladegw/net/listener.py
+++ b/gladegw/net/listener.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import array
 import contextlib
-import ctypes
 import errno
 import logging
 import socket
@@ -79,8 +79,9 @@
     """
     if sys.platform != "linux":
         return False
-    code = ctypes.create_string_buffer(struct.pack("HBBI", BPF_RETURN, 0, 0, NEWEST))
-    program = struct.pack("HP", 1, ctypes.addressof(code))
+    code = array.array("B", struct.pack("HBBI", BPF_RETURN, 0, 0, NEWEST))
+    address, _ = code.buffer_info()
+    program = struct.pack("HP", 1, address)
     try:
         sock.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, program)
     except OSError as fault:
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -33,15 +33,16 @@
 from gladegw.net.process_memory import resident_bytes
 from gladegw.net.request import Router
 from gladegw.net.shared_resources import SharedResources
-from gladegw.net.tls import TlsContext
 from gladegw.operators.commands import CommandHandler
 from gladegw.operators.lifecycle import Event, Lifecycle, State
 from gladegw.operators.request_counters import RequestObserver
 
 if TYPE_CHECKING:
     from gladegw.control.member import FleetMember
+    from gladegw.net.hcl import Blocks
     from gladegw.net.routes import PoolRouter
     from gladegw.net.timing import RequestTiming
+    from gladegw.net.tls import TlsContext
 
 LOG_FLUSH_TIMEOUT_S = 0.5  # for each target of metrics or logs at shutdown
 POLL_INTERVAL_S = 0.02  # between readiness checks when replacing a process
@@ -117,6 +118,15 @@
     return join_fleet(settings, config, shared.counters, shared.listed, routes, policy_host, timing), router
 
 
+def create_tls(features: Features) -> TlsContext | None:
+    """The context of the feature `tls`, whose code is imported only if configured."""
+    if features.tls is None:
+        return None
+    from gladegw.net.tls import TlsContext
+
+    return TlsContext(features.tls)
+
+
 def request_timing(features: Features, config: Config) -> RequestTiming | None:
     """The request observer of the feature `rollout`; None if it is not configured."""
     if features.rollout is None:
@@ -206,7 +216,7 @@
         observers.append(metrics)
     if timing is not None:
         observers.append(timing)
-    tls = TlsContext(features.tls) if features.tls is not None else None
+    tls = create_tls(features)
     if features.addresses is not None:
         server.acceptor.identifier = Addresses(features.addresses)
     if tls is not None or features.addresses is not None:
@@ -261,15 +271,15 @@
         capture.close(LOG_FLUSH_TIMEOUT_S)
 
 
-def run(file: str | None) -> int:
+def run(file: str | None, blocks: Blocks | None = None) -> int:
     """Serve with the configuration of EDGE_CONFIG and the features of the settings file.
 
-    Returns the exit code.
+    `blocks` are those of the file, if it has been read already. Returns the exit code.
     """
     logs: BackgroundWriter | None = None
     log_format = "%(levelname)s %(name)s: %(message)s"
     try:
-        features = settings_file.read(file) if file is not None else Features()
+        features = settings_file.read(file, blocks) if file is not None else Features()
         config = load(os.environ)
         if features:
             logs = BackgroundWriter(to_descriptor(sys.stderr.fileno()), MAX_LOG_BYTES, "log")
--- a/gladegw/net/tls.py
+++ b/gladegw/net/tls.py
@@ -5,17 +5,17 @@
 import asyncio
 import logging
 import ssl
-from dataclasses import dataclass
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
 from gladegw.net.config import ConfigError
+from gladegw.net.tls_settings import TlsSettings
 
 log = logging.getLogger(__name__)
 
-TLS_VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
-CLIENT_CERT_MODES = {"off": ssl.CERT_NONE, "optional": ssl.CERT_OPTIONAL, "required": ssl.CERT_REQUIRED}
+MIN_VERSIONS = {"1.2": ssl.TLSVersion.TLSv1_2, "1.3": ssl.TLSVersion.TLSv1_3}
+VERIFY_MODES = {"off": ssl.CERT_NONE, "optional": ssl.CERT_OPTIONAL, "required": ssl.CERT_REQUIRED}
 SHORT_ATTRIBUTE_NAMES = {
     "commonName": "CN",
     "organizationName": "O",
@@ -30,38 +30,6 @@
 ESCAPED_CHARS = ',+"\\<>;='
 
 
-@dataclass(frozen=True, slots=True)
-class TlsSettings:
-    """Settings in the `tls` block."""
-
-    port: int | None = None
-    cert: str | None = None
-    key: str | None = None
-    min_version: str = "1.2"
-    reload_s: int = 30
-    client_ca: str | None = None
-    client_cert: str = "off"
-
-    def __post_init__(self) -> None:
-        for name in ("port", "cert", "key"):
-            if not getattr(self, name):
-                raise ValueError(f"{name} must be set")
-        if not 1 <= (self.port or 0) <= 65535:
-            raise ValueError(f"port must be 1 to 65535, not {self.port}")
-        if self.min_version not in TLS_VERSIONS:
-            raise ValueError(
-                f"min_version must be one of {', '.join(TLS_VERSIONS)}, not {self.min_version!r}"
-            )
-        if not 1 <= self.reload_s <= 86_400:
-            raise ValueError(f"reload_s must be 1 to 86400, not {self.reload_s}")
-        if self.client_cert not in CLIENT_CERT_MODES:
-            raise ValueError(
-                f"client_cert must be one of {', '.join(CLIENT_CERT_MODES)}, not {self.client_cert!r}"
-            )
-        if self.client_cert != "off" and self.client_ca is None:
-            raise ValueError(f"client_cert {self.client_cert!r} needs client_ca")
-
-
 def _escape(value: str) -> str:
     """Escape an attribute value of a distinguished name (RFC 4514)."""
     text = "".join("\\" + char if char in ESCAPED_CHARS else char for char in value)
@@ -109,6 +77,11 @@
         except (OSError, ValueError) as error:
             raise ConfigError(f"bad settings: tls: {reason(error)}") from None
 
+    @staticmethod
+    def describe_fault(error: BaseException) -> str:
+        """Describe in one line why a handshake failed."""
+        return reason(error)
+
     def _digest(self) -> bytes:
         hasher = blake2b(digest_size=16)
         for file in self.files:
@@ -120,12 +93,12 @@
         settings = self.settings
         assert settings.cert is not None
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        context.minimum_version = TLS_VERSIONS[settings.min_version]
+        context.minimum_version = MIN_VERSIONS[settings.min_version]
         # The empty password makes an encrypted key an error instead of a prompt.
         context.load_cert_chain(settings.cert, settings.key, password="")
         if settings.client_cert != "off":
             context.load_verify_locations(settings.client_ca)
-            context.verify_mode = CLIENT_CERT_MODES[settings.client_cert]
+            context.verify_mode = VERIFY_MODES[settings.client_cert]
         return context
 
     def reload_if_changed(self) -> None:
--- a/tests/net/test_tls.py
+++ b/tests/net/test_tls.py
@@ -15,7 +15,8 @@
 from support.loopback import PATIENCE, Backend, Caller, Proxy, free_port, proxy, response, run, start_program
 
 from gladegw.net.config import ConfigError
-from gladegw.net.tls import TlsContext, TlsSettings, subject
+from gladegw.net.tls import TlsContext, subject
+from gladegw.net.tls_settings import TlsSettings
 
 
 class TlsPort:
