Do not count requests that are still being received as load

Cause: an upload whose client does not go on counted as an arrival, took places of the queue and the window until its server took the first bytes, though a server starts a request only when its last byte has arrived.

Change: an arrival may be incomplete. It counts as an arrival, in the history of weights and as work of its server once the driver tells that it is complete; in flight it has a limit of its own, a quarter of the connections to servers.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -30,6 +30,7 @@
     Outcome,
     ProbeResult,
     RejectionReason,
+    RequestCompleted,
     ServerList,
     SetTimer,
     Settings,
@@ -74,6 +75,7 @@
 MIN_UPDATE_WAIT_S = 0.25  # from the begin of a call to discovery to its answer, for the retry delay
 CONNECT_SAMPLES = 30  # samples over which the costs of new and of open connections are averaged
 RETRY_AFTER_FRACTION = 0.25  # retry delay sent to clients, as a fraction of the processing time
+MAX_INCOMPLETE_IN_FLIGHT = 64  # attempts of requests that are still being received; a driver may change it
 TICK_TOKEN = 1  # token of the control step's timer
 # Verdicts on a call; captures store the values.
 QUEUED, SHED, TOO_LATE, QUEUE_FULL, DISPLACED, ATTEMPTS_EXHAUSTED = (
@@ -118,6 +120,8 @@
         self.queue: list[Call] = []  # ordered by priority weight, highest first
         self.in_flight: dict[tuple[int, int], Attempt] = {}  # by call and number of the attempt
         self.window_in_use = 0  # attempts that count against the window
+        self.max_incomplete = MAX_INCOMPLETE_IN_FLIGHT
+        self.incomplete_in_flight = 0  # attempts of requests that are still being received
         self.arrivals = self.sends = 0  # since the last control step
         self.retry_tokens = RETRY_BUDGET_BURST
         self.now = 0.0
@@ -150,6 +154,8 @@
                 self.on_endpoint_list(event)
             elif type(event) is ClientDisconnected:
                 self.on_client_disconnected(event)
+            elif type(event) is RequestCompleted:
+                self.on_request_completed(event)
             elif type(event) is StreamStarted:
                 self.on_stream_started(event)
             elif type(event) is Stalled:
@@ -211,8 +217,6 @@
             if self.observer is not None:
                 self.observer(event.call, "admit", {"at": self.now}, SHED)
             return
-        self.arrivals += 1
-        cls.recent_arrivals += 1
         quota = self.quota_left.get(event.tenant) if self.settings.stage == 0 else None
         if quota is not None and quota >= 1:
             self.quota_left[event.tenant] -= 1
@@ -230,9 +234,43 @@
             if event.waited:
                 self.arrival_inputs[call.id]["waited"] = event.waited
         self.lifecycle.calls[call.id] = call
+        call.incomplete = event.incomplete
+        if not call.incomplete:
+            self.count_arrival(call)
+        new_calls.append(call)
+
+    def count_arrival(self, call: Call) -> None:
+        """Count a complete request; one whose client may never complete it is no load yet."""
+        self.arrivals += 1
+        call.cls.recent_arrivals += 1
         self.admission.history.append(call.priority_weight)
         self.retry_tokens = min(RETRY_BUDGET_BURST, self.retry_tokens + RETRY_BUDGET_FRACTION)
-        new_calls.append(call)
+
+    def on_request_completed(self, event: RequestCompleted) -> None:
+        """Process the last byte of a request: from now on it is work, also of the server that received it."""
+        call = self.lifecycle.calls.get(event.call)
+        if call is None or not call.incomplete:
+            return
+        call.incomplete = False
+        self.count_arrival(call)
+        for attempt in call.attempts:
+            if attempt.incomplete and attempt.status < 0:
+                self.end_receiving(attempt)
+                self.count_send(attempt)
+
+    def end_receiving(self, attempt: Attempt) -> None:
+        """Stop to count an attempt as one whose request is still being received."""
+        attempt.incomplete = False
+        attempt.server.incomplete -= 1
+        self.incomplete_in_flight -= 1
+
+    def count_send(self, attempt: Attempt) -> None:
+        """Count an attempt as work of its server."""
+        server = attempt.server
+        server.sent_since_report += 1
+        if self.servers.warmup_fraction(server, self.now) < 1:
+            server.warmup_tokens -= self.mean_call_equivalents(attempt.call)
+        self.sends += 1
 
     def make_call(self, event: Arrival, cls: ClassState, quota: float | None, typical_budget: float) -> Call:
         """Return the call of an arrival.
@@ -343,7 +381,9 @@
         status = event.status
         busy = self.window_in_use
         server.in_flight -= 1
-        if status != Status.NOT_SENT:
+        if attempt.incomplete:
+            self.end_receiving(attempt)
+        elif status != Status.NOT_SENT:
             server.sent_since_report -= 1
         if status == Status.OK:
             server.used_at = now
@@ -636,13 +676,22 @@
             and not call.in_flight
         )
 
+    def has_room_for(self, call: Call) -> bool:
+        """Return whether an attempt of the call may be in flight; the window counts complete requests."""
+        if call.incomplete:
+            return self.incomplete_in_flight < self.max_incomplete
+        return self.window_in_use + 1 <= self.admission.limit
+
     def dispatch(self) -> None:
         """Send queued calls in order while the concurrency window has room."""
         position = 0
         now = self.now
         queue, servers = self.queue, self.servers
-        while position < len(queue) and self.window_in_use + 1 <= self.admission.limit:
+        while position < len(queue):
             call = queue[position]
+            if not self.has_room_for(call):
+                position += 1
+                continue
             if self.is_too_late(call):
                 del queue[position]
                 call.queued = False
@@ -661,7 +710,7 @@
                 continue
             choice = servers.pick(call, self.lifecycle, now)
             if choice is None:
-                if not call.attempts:
+                if not (call.attempts or call.incomplete):
                     return
                 position += 1
                 continue
@@ -697,11 +746,13 @@
         self.in_flight[(call.id, attempt.number)] = attempt
         attempt.connection_idle, attempt.new_connection, server.used_at = idle, opens_connection, now
         server.in_flight += 1
-        server.sent_since_report += 1
-        if servers.warmup_fraction(server, now) < 1:
-            server.warmup_tokens -= self.mean_call_equivalents(call)
+        if call.incomplete:
+            attempt.incomplete, attempt.in_window = True, False
+            server.incomplete += 1
+            self.incomplete_in_flight += 1
+            return
+        self.count_send(attempt)
         self.window_in_use += 1
-        self.sends += 1
 
     def start_before(self) -> float:
         """Return when an attempt may no longer begin; a connect can delay it."""
@@ -722,18 +773,19 @@
             return
         wait = self.admission.processing_time / self.admission.limit
         retained: list[Call] = []
+        complete = 0  # of these, the ones that wait for the window
         for call in self.queue:
             if self.servers.list_expired and self.now - call.arrived >= EXPIRED_LIST_WAIT_S:
                 call.queued = False
                 if not call.in_flight:
                     self.reject(call, RejectionReason.LIST_EXPIRED)
                 continue
-            verdict = self.queue_verdict(call, len(retained), wait)
+            verdict = self.queue_verdict(call, complete, wait)
             if self.observer is not None and (verdict != QUEUED or call.queue_position is None):
                 inputs = {
                     "at": self.now,
                     "mean": call.cls.mean.value,
-                    "place": len(retained),
+                    "place": complete,
                     "before": call.queue_position,
                     "wait": wait,
                     "asked_until": call.probe_wait_until,
@@ -741,8 +793,9 @@
                 }
                 self.observer(call.id, "hold", inputs, verdict)
             if verdict == QUEUED:
-                call.queue_position = len(retained)
+                call.queue_position = complete
                 retained.append(call)
+                complete += not call.incomplete
             else:
                 call.queued = False
                 if not call.in_flight:
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -307,6 +307,14 @@
     max_attempts: int = 0  # the route's limit, never above the settings'; 0: the settings' limit
     route_timeout: float = math.inf  # seconds that the route allows; the budget remains the client's
     waited: float = 0.0  # seconds of the budget spent on waiting to be read and on this process's lag
+    incomplete: bool = False  # its body is still being received: no server works on it before its last byte
+
+
+@dataclass(slots=True)
+class RequestCompleted:
+    """The last byte of a request that had arrived incomplete was received."""
+
+    call: int
 
 
 @dataclass(slots=True)
@@ -378,6 +386,7 @@
 Event = (
     ServerList
     | Arrival
+    | RequestCompleted
     | Outcome
     | StreamStarted
     | Stalled
--- a/gladegw/balancing/requests.py
+++ b/gladegw/balancing/requests.py
@@ -37,6 +37,7 @@
         "counted_late",
         "hedged",
         "in_window",
+        "incomplete",
         "load",
         "new_connection",
         "number",
@@ -50,6 +51,7 @@
         self.call, self.number, self.server, self.sent_at, self.load = call, number, server, sent_at, load
         self.status = -1  # in flight
         self.in_window = True  # counts against the concurrency window
+        self.incomplete = False  # its request is still being received, so that no server works on it
         self.counted_late = False  # has already shrunk the window as late
         self.connection_idle = 0.0  # seconds its connection was idle before the send; 0: in use or new
         self.new_connection = False  # a new connection was opened for it
@@ -68,6 +70,7 @@
         "ended",
         "id",
         "in_flight",
+        "incomplete",
         "max_attempts",
         "order",
         "priority_weight",
@@ -95,6 +98,7 @@
         self.max_attempts = 0  # the route's limit; 0: the settings' limit
         self.in_flight = 0
         self.ended = self.streaming = self.queued = False
+        self.incomplete = False  # the request is still being received
         self.queue_position: int | None = None  # as of the last trim of the queue; None before the first
         self.probed_candidates: list[Server] | None = None  # servers probed only for this call
         self.probe_wait_until = 0.0  # time at which it is sent without the remaining probe results
--- a/gladegw/balancing/server_selection.py
+++ b/gladegw/balancing/server_selection.py
@@ -74,6 +74,7 @@
         self.unspent_since = 0.0  # when the tokens last reached a full call
         self.apply_entry(entry)
         self.in_flight = 0  # this instance's attempts
+        self.incomplete = 0  # of these, the ones whose request is still being received
         self.ejected_until = 0.0  # 0: not ejected
         self.ejections = 0
         self.on_trial = False  # after an ejection: gets one call at a time
@@ -257,7 +258,7 @@
         load = typical + server.sent_since_report
         if server.last_report != typical:
             load += (server.last_report - typical) * math.exp((server.reported_at - now) / decay_time)
-        return max(load, server.in_flight)
+        return max(load, server.in_flight - server.incomplete)
 
     def is_overloaded(self, server: Server, now: float) -> bool:
         """Return whether a server holds so many calls that a smaller window would help.
@@ -400,7 +401,7 @@
         server.on_trial = True
         server.errors = 0.0
         server.slow_streak = server.fail_streak = 0
-        server.sent_since_report = server.in_flight
+        server.sent_since_report = server.in_flight - server.incomplete
 
     def report(self, server: Server, report: dict[str, float] | None, now: float) -> None:
         """Process a load report (name to value) of a server; None or an invalid value is ignored."""
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -41,6 +41,7 @@
 LAG_RETENTION = 0.995  # fraction of the measured event loop lag that is kept at each timer
 STALL_S = 0.003  # a batch, or a loop turn without one, that takes longer means that the process stalled
 MAX_TIMER_TURNS = 3  # loop turns by which a timer is delayed at most so that sockets are read first
+UPLOADS_FRACTION = 1 / 4  # of the connections to backends, for requests that are still being received
 MAX_PROBES = 32  # in flight at once
 PROBE_TIMEOUT_S = 0.2  # a later load report is of no use
 MAX_OLD_LIST_LINES_PER_S = 5  # log lines of requests sent by an old endpoint list
@@ -80,6 +81,7 @@
         self.balancer = Balancer(self.settings, config.seed ^ zlib.crc32(pool.encode()))
         self.shared = shared or SharedResources(config)
         self.upstreams, self.ids = self.shared.upstreams, self.shared.ids
+        self.balancer.max_incomplete = max(1, int(UPLOADS_FRACTION * self.upstreams.max_connections))
         self.retired = False  # replaced by a newer driver; idle once its last request has ended
         self.deferred_timers: list[int] = []  # tokens of timers that expired while it was retired and idle
         self.calls: dict[int, PendingRequest] = {}
@@ -317,6 +319,7 @@
             is_retry=request.resent,
             key=request.subject,
             waited=waited,
+            incomplete=body_incomplete,
         )
         if request.routed is not None:
             arrival.max_attempts = request.routed.attempts
@@ -359,6 +362,7 @@
         """Start the deadline of a request whose streamed body is complete."""
         if not call.open:
             return
+        self._push(api.RequestCompleted(call.number))
         call.deadline = call.request.received_at + self._allowed_time(call.request) - self._margin()
         if call.streaming:
             if call.exchange is not None:
