End the reference cycles of closed connections to servers and of uploads

What operators saw: memory that stays after its connections are closed, until a garbage collection that comes after 50,000 new objects.

Cause: a connection to a server and its parser refer to each other, and so do an upload and the callback for its first bytes.

Change: both references end with the connection and the exchange.

--- a/gladegw/net/upstream/connections.py
+++ b/gladegw/net/upstream/connections.py
@@ -89,6 +89,8 @@
             exchange, self.exchange = self.exchange, None
             exchange.connection = None
             exchange.end(Status.RESET)
+        # Ends the reference cycle, so that nothing waits for the garbage collector.
+        self.parser = None
 
     def update_share(self) -> None:
         """Account for the bytes that are held for this connection now."""
--- a/gladegw/net/upstream/exchange.py
+++ b/gladegw/net/upstream/exchange.py
@@ -142,7 +142,7 @@
             self.elapsed = time.monotonic() - self.started_at
         self.timer.cancel()
         if self.upload is not None:
-            self.upload.reader = None
+            self.upload.reader = self.upload.on_release = None  # they refer to the exchange and its request
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.abandon()
