Do not decide a hedged attempt that the driver cannot send

Cause: where the settings allow two copies of a request the decisions hedge one that seems stuck. The driver holds one attempt of a call and drops the other; each such decision cost a retry token and one of the call's attempts.

Change: Settings.hedges_are_sent, which the real proxy sets to false; then nothing is decided for a stuck attempt. The simulator hedges as before.

--- a/gladegw/balancing/balancer.py
+++ b/gladegw/balancing/balancer.py
@@ -649,6 +649,8 @@
 
         Queues a further attempt; where the settings forbid hedging, cancels the attempt instead.
         """
+        if self.settings.may_hedge and not self.settings.hedges_are_sent:
+            return
         call = attempt.call
         if call.ended or call.streaming or call.queued or call.in_flight > 1 or self.retry_tokens < 1:
             return
--- a/gladegw/balancing/events.py
+++ b/gladegw/balancing/events.py
@@ -150,6 +150,7 @@
     watch_is_confirmed: bool = False
     max_attempts: int = 1
     may_hedge: bool = False
+    hedges_are_sent: bool = True  # the driver can hold two attempts of a call in flight
     may_cancel: bool = False
     may_probe: bool = False
     may_message_peers: bool = False  # may send messages to other instances
--- a/gladegw/net/config.py
+++ b/gladegw/net/config.py
@@ -126,7 +126,9 @@
             seed=_seed(raw.get("seed", 0)),
             sockets=sockets,
             known=known,
-            settings=dataclasses.replace(read_settings(flatten(raw["settings"])), watch_is_confirmed=True),
+            settings=dataclasses.replace(
+                read_settings(flatten(raw["settings"])), watch_is_confirmed=True, hedges_are_sent=False
+            ),
             raw_settings=raw["settings"],
             memory=int(float(limits.get("memory_mb", 128)) * (1 << 20)),
             admin=address(admin) if admin else None,
