Send a request in parts, and admit as many clients as requests need under small memory

Cause: a request's head and body were joined for a server, which copies the body; with 32 MB 426 clients and 341 connections to servers took 33.1 MB beside whole bodies of 60 kB, though 3.9 MB were accounted as their least.

Change: the parts are written one after another. Where memory limits the connections, as many clients are admitted as are needed for a third of the descriptors to be served, and a third of that to servers. The first allowance is a sixteenth of the room; the ring of the capture is bounded by the memory too. A request whose client does not take what it is sent is no work in flight.

--- a/gladegw/limits/memory_account.py
+++ b/gladegw/limits/memory_account.py
@@ -8,12 +8,13 @@
 
 # Of the bytes that are free: what one more connection may hold. With n connections that want more, each gets
 # capacity / (1 / ALLOWANCE_FRACTION + n), so that their sum stays under the capacity.
-ALLOWANCE_FRACTION = 1 / 8
-MIN_ALLOWANCE_BYTES = 2 * 1024  # a usual request, also while nothing is free
+ALLOWANCE_FRACTION = 1 / 16
+MIN_ALLOWANCE_BYTES = 1536  # a usual request, also while nothing is free
 CONNECTION_BYTES = 5 * 1024  # for the objects of a connection of either side
 # The objects of one request from its head to its end: downstream, in the driver, the decisions, the exchange.
 REQUEST_OBJECTS_BYTES = 3 * 1024
 CLIENT_BYTES = CONNECTION_BYTES + REQUEST_OBJECTS_BYTES + MIN_ALLOWANCE_BYTES
+MIN_SERVERS_PER_CLIENT = 1 / 3  # connections to servers for each of a client, where memory limits both
 RESERVE_BYTES = 1_700_000  # for what is bounded by itself: queues of lines, tables of names, the decisions
 UNUSED_LIMIT_FRACTION = 1 / 20  # of the limit
 MIN_CAPACITY_BYTES = 2_000_000  # below it, only the usual requests of some hundred connections are served
@@ -44,10 +45,11 @@
 
     At least `min_clients` clients are admitted, as far as the descriptors allow it.
     """
-    servers_per_client = descriptors.servers / descriptors.clients
-    bytes_per_client = CLIENT_BYTES + servers_per_client * CONNECTION_BYTES
+    bytes_per_client = CLIENT_BYTES + MIN_SERVERS_PER_CLIENT * CONNECTION_BYTES
     clients = min(descriptors.clients, max(min_clients, int(capacity / bytes_per_client)))
-    return ConnectionLimits(clients, max(1, min(descriptors.servers, round(clients * servers_per_client))))
+    if clients == descriptors.clients:
+        return descriptors
+    return ConnectionLimits(clients, max(1, min(descriptors.servers, int(clients * MIN_SERVERS_PER_CLIENT))))
 
 
 class Shortage(Enum):
--- a/gladegw/net/capture.py
+++ b/gladegw/net/capture.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 
 VERSION = 1  # of the record format
-RING_FRACTION = 1 / 128  # of the memory limit, which bounds the ring as `ring_kb` does
+RING_FRACTION = 1 / 256  # of the memory limit, which bounds the ring as `ring_kb` does
 MAX_TEXT_CHARS = 200  # for each text that a peer sent
 TABLE_TEXT_DIVISOR = 4  # a route table's text is recorded up to ring size / TABLE_TEXT_DIVISOR
 STATUS_NAMES = {
--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -124,7 +124,8 @@
         """Account for the bytes that are held for this connection now, and for a request that is pending."""
         if self.transport is None:
             return
-        if self.is_pending and not self.is_uploading:
+        waits_for_client = self.write_buffer_full or self.is_uploading
+        if self.is_pending and not waits_for_client:
             self.server.pending.add(self)
         else:
             self.server.pending.discard(self)
@@ -142,6 +143,7 @@
     def pause_writing(self) -> None:
         """The write buffer is full: pause the response's source and reading."""
         self.write_buffer_full = True
+        self.server.pending.discard(self)
         if self.body_source is not None:
             self.body_source.pause()
         self._update_reading()
--- a/gladegw/net/downstream/server.py
+++ b/gladegw/net/downstream/server.py
@@ -61,7 +61,8 @@
         self.memory = memory or MemoryAccount(sys.maxsize)
         self.scratch = scratch  # read buffer that all connections share
         self.connections: set[ClientConnection] = set()  # those whose descriptors are not closed yet
-        self.pending: set[ClientConnection] = set()  # those with a complete request that has no response
+        # Those with a complete request that has no response, and whose client takes what it is sent:
+        self.pending: set[ClientConnection] = set()
         self.answering: deque[ClientConnection] = deque()  # with requests that wait behind an answered one
         self.ranked: deque[ClientConnection] = deque()  # to be evicted next, in this order
         self.ranked_at = -math.inf  # monotonic
--- a/gladegw/net/driver.py
+++ b/gladegw/net/driver.py
@@ -453,11 +453,12 @@
             in_time = time.monotonic() <= start_before and not self.shared.stalls.is_settling()
             return call.open and upstream.serving and in_time and not call.reply.hung_up()
 
-        def request_bytes() -> bytes:
+        def request_parts() -> tuple[bytes, ...]:
             """The request with the time that remains now, after the connect."""
             left = timeout if exchange.uploading else exchange.due_at - time.monotonic()
             budget = b"x-budget: %du\r\n\r\n" % max(1, int(left * 1e6))
-            return request.head + request.framing() + budget + request.body
+            head = request.head + request.framing() + budget
+            return (head, request.body) if request.body else (head,)
 
         def on_end(exchange: Exchange) -> None:
             self._on_attempt_end(call, number, action.server, exchange)
@@ -467,7 +468,7 @@
 
         exchange = Exchange(
             upstream,
-            request_bytes,
+            request_parts,
             max(0.0, timeout),
             may_start,
             on_end,
@@ -609,7 +610,7 @@
         def may_start() -> bool:
             return upstream.state is not api.ServerState.REMOVED
 
-        probe = Exchange(upstream, lambda: request, PROBE_TIMEOUT_S, may_start, on_end)
+        probe = Exchange(upstream, lambda: (request,), PROBE_TIMEOUT_S, may_start, on_end)
         self.upstreams.start(probe)
 
     def _set_timer(self, action: api.SetTimer) -> None:
--- a/gladegw/net/serve.py
+++ b/gladegw/net/serve.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from gladegw.limits.connection_eviction import SERVED_FRACTION
 from gladegw.limits.descriptor_budget import FLEET_MEMBER_DESCRIPTORS
 from gladegw.limits.memory_account import ConnectionLimits, capacity_bytes, limit_connections
 from gladegw.net import discovery, listener, memory_monitor, stall_monitor
@@ -46,7 +47,7 @@
     from gladegw.net.timing import RequestTiming
     from gladegw.net.tls import TlsContext
 
-REQUESTING_CLIENTS_FRACTION = 5 / 12  # of the descriptors, which clients use at most for requests
+REQUESTING_CLIENTS_FRACTION = 1 / 3  # of the descriptors, which clients use at most for requests
 LOG_FLUSH_TIMEOUT_S = 0.5  # for each target of metrics or logs at shutdown
 POLL_INTERVAL_S = 0.02  # between readiness checks when replacing a process
 REREAD_INTERVAL_S = 0.1  # between attempts to read an invalid configuration
@@ -144,7 +145,7 @@
     limits = limit_connections(
         ConnectionLimits(shared.budget.clients, shared.budget.upstreams),
         shared.memory.capacity,
-        int(config.sockets * REQUESTING_CLIENTS_FRACTION),
+        int(config.sockets * REQUESTING_CLIENTS_FRACTION / SERVED_FRACTION),
     )
     server.limit_connections(limits.clients)
     shared.upstreams.max_connections = limits.servers
--- a/gladegw/net/upstream/connections.py
+++ b/gladegw/net/upstream/connections.py
@@ -264,7 +264,8 @@
         """Write the exchange's request."""
         assert self.transport is not None
         self.exchange = exchange
-        self.transport.write(exchange.request())
+        for part in exchange.request():  # not joined, which would copy the body
+            self.transport.write(part)
         if exchange.upload is None:
             exchange.on_request_sent()
         else:
--- a/gladegw/net/upstream/exchange.py
+++ b/gladegw/net/upstream/exchange.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from gladegw.balancing.events import Status
@@ -24,9 +24,9 @@
 STREAM_STALL_S = 20.0  # a streamed response of which the backend sends nothing for this long is aborted
 
 
-def _empty_request() -> bytes:
+def _empty_request() -> Sequence[bytes]:
     """Replaces `request` once the exchange has ended."""
-    return b""
+    return ()
 
 
 def _never_start() -> bool:
@@ -47,7 +47,7 @@
     """One request to one backend, from the decision to send until its single end.
 
     `may_start` is called right before the first byte is sent, also after a slow connect, since the request
-    may have ended or the backend begun to drain. `request` is called only then and returns the bytes to send,
+    may have ended or the backend begun to drain. `request` is called only then and returns the parts to send,
     which may contain the remaining time. `on_sent` is called when the last byte of the request is sent,
     `on_streaming` when a response is to be streamed (it sets `sink`, or returns False if the response is not
     wanted any more), `prefers_complete` to ask whether one that may still be buffered should not be streamed
@@ -87,7 +87,7 @@
     def __init__(
         self,
         upstream: Upstream,
-        request: Callable[[], bytes],
+        request: Callable[[], Sequence[bytes]],
         timeout: float,
         may_start: Callable[[], bool],
         on_end: Callable[[Exchange], None],
