--- a/gladegw/net/downstream/connection.py
+++ b/gladegw/net/downstream/connection.py
@@ -752,7 +752,8 @@
         incoming = self.incoming
         if incoming is None or incoming.upload is None or self.body_source is not None:
             return False
-        return self.current is incoming or (self.current is None and self.queued[0] is incoming)
+        next_pending = self.current or next(iter(self.queued), None)
+        return next_pending is incoming
 
     @property
     def awaits_body(self) -> bool:
